--- /dev/null
+++ b/choice/choice.go
@@ -0,0 +1,869 @@
+// How to call this module; its interface stands in types.go.
+//
+// New makes an allocator from its settings and a seed. Place takes a workload and returns a step: carry it
+// out and hand what came of it to the step's Next, which returns the step after that, until a step has no
+// Next. Adopt does the same for a workload found running. List, Report, Probed and Note tell the allocator
+// what is heard meanwhile; Upkeep, called when it last asked to be, returns moves, probes and list calls.
+// Each call is told the time. The same calls return the same results, and allocators share nothing.
+package choice
+
+import (
+	"encoding/binary"
+	"hash/fnv"
+	"math"
+	"slices"
+)
+
+const (
+	loadCap      = 0.8          // share of cores; the design's start: past it the residents' stretch is over 5
+	memoryCap    = 0.9          // share of memory in use; leaves a tenth for growth after a start
+	tieBand      = 0.05         // share of cores; the design's: finer than the reports' noise
+	zoneBand     = 0.1          // share of cores that our own zone may be fuller where crossing has a price
+	moveWindow   = Millis(10e3) // ms; the design's start: shorter hotspots pass by themselves
+	movePause    = Millis(3e3)  // ms between moves off one machine: reports must show the last one first
+	moveReports  = 3            // reports; fewer within the window are no evidence
+	listLag      = Millis(2500) // ms that the list's room is behind: about the middle of what lists take
+	reportLag    = Millis(700)  // ms that a report is behind: its refresh and its way here
+	staleAfter   = Millis(5e3)  // ms after which a machine counts as unheard: several ends are due by then
+	probeAfter   = Millis(1500) // ms without a report after which a machine is probed, where that is allowed
+	keepSamples  = 16           // samples of a kind a machine: enough for a median and for the move window
+	keepStarts   = 32           // samples over the whole fleet: a steady median that still follows the day
+	keepPrograms = 4            // programs that a machine is taken to keep after their last task
+	hangAfter    = Millis(800)  // ms beyond the usual for which an unanswered bind hints at no hang yet
+	slowTimes    = 3            // times the usual: longer than noise makes a start
+	slowFor      = Millis(15e3) // ms for which a slow start is held against a machine
+	missPause    = Millis(500)  // ms away from a machine after a failed contact; doubles with each further
+	missMost     = 5            // doublings, so that a machine is tried again after 16 s at the latest
+	fullPause    = Millis(1e3)  // ms for which a machine that was out of room is not offered as much again
+	barMost      = 3            // one in so many machines may be barred on symptoms; more is a shared trouble
+	timeoutFloor = Millis(1e3)  // ms; the shortest time-out of a bind: a full admission line takes as long
+	answerMargin = Millis(20)   // ms before the pending timeout by which the final answer is given
+	budgetSpare  = 1.5          // times the cold budget's window that ours lasts: binds bunch up on their way
+	watchQuiet   = Millis(8e3)  // ms without news after which the watch is asked for again
+	watchRetry   = Millis(1500) // ms after a failed list call before the next
+	listWait     = Millis(50)   // ms between looks for a first machine, while the list is still empty
+	upkeepEvery  = Millis(250)  // ms between chores: short against every window above
+	startLanes   = 2            // starts that a machine does at once, for guessing the wait
+	firstStart   = Millis(300)  // ms that a warm start is taken to need before any was seen
+	coldTimes    = 6            // times as long that a start without a kept program takes, before any was seen
+	useGuess     = 0.6          // share of the ask that is used, before any note came
+)
+
+// sample is one measurement with the time when it came.
+type sample struct {
+	at    Millis
+	value float64
+}
+
+// change is a step in what our own workloads ask of a machine.
+type change struct {
+	at            Millis
+	cores, memory float64
+}
+
+// report is a machine's load report as it came in; used and memory are NaN where it did not tell.
+type report struct {
+	at           Millis
+	used, memory float64 // cores and memory in use
+	spare        float64 // cores that nobody asked for, where reports count asks
+	spareMemory  float64
+}
+
+// node is a machine as this allocator sees it.
+type node struct {
+	Node
+	size       Kind
+	ours       []*bind // out or running, oldest first
+	changes    []change
+	reports    []report
+	slowness   []sample // times to start, over what was expected
+	sends      []Millis // binds of the last cold window
+	programs   []ServiceID
+	misses     int // failed contacts in a row
+	missedAt   Millis
+	declinedAt Millis
+	declined   Kind // the smallest ask that was turned down then
+	movedAt    Millis
+}
+
+// workload is an ask that is not answered yet, or placed.
+type workload struct {
+	Workload
+	group    *group
+	due      Millis // start wanted by then
+	expires  Millis
+	binds    int
+	maybe    *bind // first bind that may have run
+	declined []*node
+	over     bool
+}
+
+// bind is one offer of a workload to a machine, until its end is known.
+type bind struct {
+	wl                 *workload
+	node               *node
+	at                 Millis
+	warm               bool
+	expected           Millis // time to start
+	confirmed, running bool
+	used, usedMemory   float64 // last notes; NaN before the first
+}
+
+// group is what decisions need of a priority group.
+type group struct {
+	target     Millis
+	effect     Effect
+	scope      Scope
+	window     Millis
+	spread     Scope
+	spreadMost int
+	kind       int
+	starts     [2][]Millis // last times to start, without and with the program at hand
+}
+
+// Allocator places workloads by what it alone has seen.
+type Allocator struct {
+	groups       []group
+	kinds        []Kind
+	zone         ZoneID
+	zonePriced   bool
+	fleetPriced  bool
+	coldFor      Millis
+	coldFrom     float64
+	coldShare    float64 // offers within coldWindow that are ours to send to a cold machine
+	coldWindow   Millis
+	mustAsk      bool
+	byRunning    bool
+	reportsUse   bool
+	roomInList   bool
+	allocators   float64
+	maxBinds     int
+	mayProbe     bool
+	seed, draws  uint64
+	nodes        []*node // by id
+	known        map[NodeID]*node
+	placed       map[WorkloadID]*bind
+	confirms     []Millis
+	useShares    []float64
+	watchAsked   Millis
+	listHeard    Millis
+	listFailedAt Millis
+}
+
+// New makes an allocator that knows its settings and nothing else.
+func New(s Settings, seed uint64) *Allocator {
+	n := max(1, s.Allocators)
+	a := &Allocator{
+		kinds: s.Kinds, zone: s.Zone, zonePriced: s.ZonePrice > 0, fleetPriced: s.FleetPrice > 0,
+		coldFor: s.ColdFor, coldFrom: s.ColdFrom, coldShare: math.Floor(s.ColdBears / float64(n)),
+		coldWindow: s.OverloadFor * budgetSpare, mustAsk: s.MustAsk, byRunning: s.ConfirmsRunning,
+		reportsUse: s.ReportsUse, roomInList: s.RoomInList, allocators: float64(n), maxBinds: s.MaxBinds,
+		mayProbe: s.MayProbe, seed: seed, known: map[NodeID]*node{}, placed: map[WorkloadID]*bind{},
+		watchAsked: LongAgo, listHeard: LongAgo, listFailedAt: LongAgo,
+	}
+	for _, g := range s.Groups {
+		a.groups = append(a.groups, group{
+			target: g.Target, effect: g.Effect, scope: g.DedupScope, window: g.DedupWindow,
+			spread: g.Spread, spreadMost: g.SpreadMost, kind: g.Kind,
+		})
+	}
+	return a
+}
+
+// Place takes a workload and returns its first step.
+func (a *Allocator) Place(now Millis, w Workload) Step {
+	if int(w.Group) >= len(a.groups) {
+		return Step{Kind: Rejected}
+	}
+	g := &a.groups[w.Group]
+	wl := &workload{Workload: w, group: g, due: now + g.target, expires: now + w.Left}
+	return a.choose(now, wl)
+}
+
+// Adopt takes over a workload that runs already.
+func (a *Allocator) Adopt(now Millis, w Workload, id NodeID) Step {
+	g := &group{kind: -1}
+	if int(w.Group) < len(a.groups) {
+		g = &a.groups[w.Group]
+	}
+	wl := &workload{Workload: w, group: g}
+	b := a.hold(now, wl, a.node(id))
+	b.confirmed, b.running = true, true
+	return Step{Kind: Resident, Next: a.after(b)}
+}
+
+// choose offers wl to the best machine, or gives it up at once.
+func (a *Allocator) choose(now Millis, wl *workload) Step {
+	if len(a.nodes) == 0 && now+listWait < wl.due {
+		return Step{Kind: Wait, Until: now + listWait, Next: func(now Millis, r Result) Step {
+			if r.Kind == Withdrawn {
+				return Step{Kind: Done}
+			}
+			return a.choose(now, wl)
+		}}
+	}
+	left := wl.expires - now - answerMargin
+	if wl.binds >= a.maxBinds || left <= 0 {
+		return giveUp(wl)
+	}
+	n := a.pick(now, wl)
+	if n == nil {
+		return giveUp(wl)
+	}
+	timeout := left
+	if wl.group.effect != RunOnce && wl.binds+1 < a.maxBinds {
+		timeout = min(timeout, max(timeoutFloor, left/2, slowTimes*median(a.confirms)))
+	}
+	wl.binds++
+	b := a.hold(now, wl, n)
+	return Step{Kind: Bind, Node: n.ID, Timeout: timeout, Next: a.after(b)}
+}
+
+// giveUp answers a workload that gets no further bind. Rejecting promises that asking again is harmless,
+// so a workload that may run is rejected only where every machine knows a repeat.
+func giveUp(wl *workload) Step {
+	g := wl.group
+	if wl.maybe != nil && (g.effect == RunOnce || g.effect == Deduplicated && g.scope != ScopeAll) {
+		return Step{Kind: Unschedulable}
+	}
+	return Step{Kind: Rejected}
+}
+
+// hold books a bind to its machine.
+func (a *Allocator) hold(now Millis, wl *workload, n *node) *bind {
+	b := &bind{wl: wl, node: n, at: now, used: math.NaN(), usedMemory: math.NaN()}
+	b.warm = n.holds(wl.Service)
+	b.expected = a.startTime(now, wl, n)
+	n.ours = append(n.ours, b)
+	n.change(now, wl.Cores, wl.Memory)
+	if a.cold(now, n) {
+		n.sends = append(n.sends, now)
+	}
+	return b
+}
+
+// release takes a bind that has ended off its machine's books.
+func (a *Allocator) release(now Millis, b *bind) {
+	n := b.node
+	n.ours = slices.DeleteFunc(n.ours, func(o *bind) bool { return o == b })
+	n.change(now, -b.wl.Cores, -b.wl.Memory)
+	if a.placed[b.wl.ID] == b {
+		delete(a.placed, b.wl.ID)
+	}
+}
+
+// after continues a workload with what came of its bind. Every kind of result that proves nothing counts as
+// one that may have run: time-outs, broken answers and kinds that nobody has thought of.
+func (a *Allocator) after(b *bind) func(Millis, Result) Step {
+	return func(now Millis, r Result) Step {
+		wl, n := b.wl, b.node
+		if r.Load != nil {
+			a.Report(now, n.ID, *r.Load)
+		}
+		switch r.Kind {
+		case Confirmed:
+			b.confirmed = true
+			a.confirms = keep(a.confirms, now-b.at, keepStarts)
+			n.misses = 0
+			if a.byRunning {
+				a.started(now, b)
+			}
+			a.placed[wl.ID] = b
+			return Step{Kind: Resident, Next: a.after(b)}
+		case Withdrawn:
+			wl.over = true
+			return Step{Kind: Resident, Next: a.after(b)}
+		}
+		a.release(now, b)
+		switch r.Kind {
+		case Ended:
+			return Step{Kind: Done}
+		case Declined:
+			n.misses = 0
+			n.turnedDown(now, wl, r.Reason)
+			wl.declined = append(wl.declined, n)
+		case Unreachable:
+			n.miss(now)
+			wl.declined = append(wl.declined, n)
+		case NotSent:
+			wl.binds = a.maxBinds
+		default:
+			n.miss(now)
+			if wl.maybe == nil {
+				wl.maybe = b
+			}
+		}
+		if wl.over || r.Over {
+			return Step{Kind: Done}
+		}
+		if wl.maybe != nil && wl.group.effect == RunOnce {
+			return giveUp(wl)
+		}
+		return a.choose(now, wl)
+	}
+}
+
+// started notes that a bind's workload runs.
+func (a *Allocator) started(now Millis, b *bind) {
+	if b.running {
+		return
+	}
+	b.running = true
+	took := now - b.at
+	b.node.slowness = keep(b.node.slowness, sample{now, float64(took / max(1, b.expected))}, keepSamples)
+	b.node.learn(b.wl.Service)
+	s := &b.wl.group.starts[index(b.warm)]
+	*s = keep(*s, took, keepStarts)
+}
+
+// Note takes what is told of a placed workload.
+func (a *Allocator) Note(now Millis, id WorkloadID, kind NoteKind, value float64) {
+	b := a.placed[id]
+	if b == nil || math.IsNaN(value) {
+		return
+	}
+	switch kind {
+	case Running:
+		a.started(now, b)
+	case CoresUsed:
+		b.used = value
+		if b.wl.Cores > 0 {
+			a.useShares = keep(a.useShares, value/b.wl.Cores, 2*keepStarts)
+		}
+	case MemoryUsed:
+		b.usedMemory = value
+	}
+}
+
+// Report takes a load report that came with an answer.
+func (a *Allocator) Report(now Millis, id NodeID, l Load) {
+	n := a.known[id]
+	if n == nil {
+		return
+	}
+	r := report{at: now, used: math.NaN(), memory: math.NaN(), spare: l.SpareCores, spareMemory: l.SpareMemory}
+	if a.reportsUse {
+		r.used, r.memory = n.size.Cores-l.SpareCores, n.size.Memory-l.SpareMemory
+	}
+	if math.IsNaN(r.used) {
+		r.used = l.Utilization * n.size.Cores
+	}
+	n.reports = keep(n.reports, r, keepSamples)
+}
+
+// Probed takes the result of a probe.
+func (a *Allocator) Probed(now Millis, id NodeID, answered bool, l *Load) {
+	if n := a.known[id]; n != nil && !answered {
+		n.miss(now)
+	} else if n != nil {
+		n.misses = 0
+		if l != nil {
+			a.Report(now, id, *l)
+		}
+	}
+}
+
+// List takes a message of the machine list.
+func (a *Allocator) List(now Millis, kind ListKind, nodes []Node) {
+	if kind == Failed {
+		a.listFailedAt = now
+		return
+	}
+	if kind != Cached {
+		a.listHeard = now
+	}
+	if kind != Changes {
+		for _, n := range a.nodes {
+			n.State = Gone
+		}
+	}
+	for _, entry := range nodes {
+		n := a.node(entry.ID)
+		if entry.Born != n.Born {
+			n.reports, n.slowness, n.programs, n.sends, n.misses = nil, nil, nil, nil, 0
+		}
+		n.Node = entry
+		n.size = Kind{}
+		if int(entry.Kind) < len(a.kinds) {
+			n.size = a.kinds[entry.Kind]
+		}
+	}
+}
+
+// node returns the machine of that name; one that no list named counts as gone.
+func (a *Allocator) node(id NodeID) *node {
+	n := a.known[id]
+	if n == nil {
+		n = &node{Node: Node{ID: id, State: Gone, Born: LongAgo}}
+		n.missedAt, n.declinedAt, n.movedAt = LongAgo, LongAgo, LongAgo
+		a.known[id] = n
+	}
+	if i, found := slices.BinarySearchFunc(a.nodes, id, byID); !found {
+		a.nodes = slices.Insert(a.nodes, i, n)
+	}
+	return n
+}
+
+func byID(n *node, id NodeID) int {
+	switch {
+	case n.ID < id:
+		return -1
+	case n.ID > id:
+		return 1
+	}
+	return 0
+}
+
+// Upkeep returns what is to be done beside the steps of workloads.
+func (a *Allocator) Upkeep(now Millis) Chores {
+	c := Chores{Again: now + upkeepEvery}
+	for _, n := range a.nodes {
+		n.changes = slices.DeleteFunc(n.changes, func(c change) bool { return c.at < now-2*listLag })
+		n.sends = slices.DeleteFunc(n.sends, func(at Millis) bool { return at < now-a.coldWindow })
+	}
+	a.nodes = slices.DeleteFunc(a.nodes, func(n *node) bool {
+		gone := n.State == Gone && len(n.ours) == 0
+		if gone {
+			delete(a.known, n.ID)
+		}
+		return gone
+	})
+	// The watch may have broken unheard, and a failed call does not say whether it stands.
+	if a.mustAsk && now-a.watchAsked > watchRetry &&
+		(a.listFailedAt >= a.watchAsked || now-max(a.listHeard, a.watchAsked) > watchQuiet) {
+		c.Watch, a.watchAsked = true, now
+	}
+	for _, n := range a.nodes {
+		if n.State == Ready && a.mayProbe && now-max(n.heard(), n.missedAt) > probeAfter {
+			n.missedAt = max(n.missedAt, n.missedAt)
+			c.Probes = append(c.Probes, n.ID)
+		}
+		if b := a.victim(now, n); b != nil {
+			n.movedAt = now
+			c.Moves = append(c.Moves, b.wl.ID)
+		}
+	}
+	return c
+}
+
+// victim returns the workload to move off a machine that has been above the cap for the whole window and
+// still is by a fresh report: ours that is furthest over its ask, if another machine can take it.
+func (a *Allocator) victim(now Millis, n *node) *bind {
+	if now-n.movedAt < movePause || len(n.reports) == 0 || now-n.heard() > 2*probeAfter {
+		return nil
+	}
+	since, seen := now, 0
+	for _, r := range slices.Backward(n.reports) {
+		if !(r.used > loadCap*n.size.Cores) {
+			break
+		}
+		since, seen = r.at, seen+1
+	}
+	if seen < moveReports || now-since < moveWindow {
+		return nil
+	}
+	var worst *bind
+	for _, b := range n.ours {
+		if b.running && b.wl.group.effect != RunOnce && b.used > b.wl.Cores &&
+			(worst == nil || b.used-b.wl.Cores > worst.used-worst.wl.Cores) {
+			worst = b
+		}
+	}
+	if worst == nil || !slices.ContainsFunc(a.nodes, func(o *node) bool {
+		return o != n && a.feasible(now, worst.wl, o)
+	}) {
+		return nil
+	}
+	return worst
+}
+
+// pick returns the machine for wl, or nil where none is feasible: those that hold the service's program
+// first, then the least loaded, a random one where loads tie.
+func (a *Allocator) pick(now Millis, wl *workload) *node {
+	barred := a.barred(now)
+	type option struct {
+		n    *node
+		tier int
+		load float64
+	}
+	var options []option
+	best := math.MaxInt
+	for _, n := range a.nodes {
+		if !a.feasible(now, wl, n) || slices.Contains(barred, n) {
+			continue
+		}
+		tier := 0
+		if !n.holds(wl.Service) {
+			tier++
+		}
+		if now+a.startTime(now, wl, n) > wl.due {
+			tier += 2
+		}
+		if a.fleetPriced && a.idle(now, n) {
+			tier += 4
+		}
+		options = append(options, option{n, tier, a.load(now, wl, n)})
+		best = min(best, tier)
+	}
+	least := math.Inf(1)
+	options = slices.DeleteFunc(options, func(o option) bool { return o.tier > best })
+	for _, o := range options {
+		least = min(least, o.load)
+	}
+	within := func(band float64, zone bool) []option {
+		var in []option
+		for _, o := range options {
+			if o.load <= least+band && (!zone || o.n.Zone == a.zone) {
+				in = append(in, o)
+			}
+		}
+		return in
+	}
+	ties := within(tieBand, false)
+	if a.zonePriced {
+		if near := within(zoneBand, true); len(near) > 0 {
+			ties = near
+		}
+	}
+	if len(ties) == 0 {
+		return nil
+	}
+	return ties[a.chance(len(ties))].n
+}
+
+// feasible tells whether wl may go to n: by the rules, by the room seen less our recent binds, and by the cap.
+func (a *Allocator) feasible(now Millis, wl *workload, n *node) bool {
+	g := wl.group
+	switch {
+	case n.State != Ready, g.kind >= 0 && int(n.Kind) != g.kind, slices.Contains(wl.declined, n),
+		wl.maybe != nil && !repeatable(now, wl, n), !a.spreadAllows(wl, n), !a.coldAllows(now, n):
+		return false
+	}
+	if now-n.declinedAt < fullPause && wl.Cores >= n.declined.Cores && wl.Memory >= n.declined.Memory {
+		return false
+	}
+	room := a.room(now, n)
+	if wl.Cores > room.Cores || wl.Memory > room.Memory {
+		return false
+	}
+	if used := a.usedMemory(now, n); used+wl.Memory > memoryCap*n.size.Memory && used > 0 {
+		return false
+	}
+	return a.load(now, wl, n) < loadCap
+}
+
+// repeatable tells whether a further bind of a workload that may run already is harmless on n.
+func repeatable(now Millis, wl *workload, n *node) bool {
+	g, first := wl.group, wl.maybe
+	switch {
+	case g.effect == Restartable:
+		return true
+	case g.effect == RunOnce || now-first.at >= g.window-answerMargin:
+		return false
+	}
+	return within(g.scope, first.node, n)
+}
+
+// within tells whether n lies in the place of that kind around m.
+func within(s Scope, m, n *node) bool {
+	switch s {
+	case ScopeNode:
+		return n == m
+	case ScopeCell:
+		return n.Cell == m.Cell
+	case ScopeZone:
+		return n.Zone == m.Zone
+	case ScopeAll:
+		return true
+	}
+	return false
+}
+
+// spreadAllows keeps a service's workloads, as placed by us, within the most that one place may hold.
+func (a *Allocator) spreadAllows(wl *workload, n *node) bool {
+	if wl.group.spread == ScopeNone {
+		return true
+	}
+	held := 0
+	for _, m := range a.nodes {
+		if within(wl.group.spread, n, m) {
+			for _, b := range m.ours {
+				if b.wl.Service == wl.Service {
+					held++
+				}
+			}
+		}
+	}
+	return held < wl.group.spreadMost
+}
+
+func (a *Allocator) cold(now Millis, n *node) bool { return now-n.Born < a.coldFor }
+
+// coldAllows keeps our binds to a machine just up within our share of what it bears, and ramps them up.
+func (a *Allocator) coldAllows(now Millis, n *node) bool {
+	if !a.cold(now, n) {
+		return true
+	}
+	sent := 0
+	for _, at := range n.sends {
+		if now-at <= a.coldWindow {
+			sent++
+		}
+	}
+	return float64(sent+1) <= a.coldShare && float64(sent) < max(1, a.coldShare*a.pace(now, n))
+}
+
+// pace is the share of its full pace for starts that a machine is sure to have.
+func (a *Allocator) pace(now Millis, n *node) float64 {
+	if !a.cold(now, n) {
+		return 1
+	}
+	return a.coldFrom + (1-a.coldFrom)*max(0, float64((now-n.Born)/a.coldFor))
+}
+
+// room is what nobody has asked for on n. The list shows it late, so what our own workloads have begun and
+// ceased to ask for since then is added; they alone can never leave more than the machine's size.
+func (a *Allocator) room(now Millis, n *node) Kind {
+	var ours Kind
+	for _, b := range n.ours {
+		ours.Cores += b.wl.Cores
+		ours.Memory += b.wl.Memory
+	}
+	left := Kind{n.size.Cores - ours.Cores, n.size.Memory - ours.Memory}
+	if a.roomInList {
+		since := n.changed(now - listLag)
+		return Kind{min(left.Cores, n.FreeCores-since.cores), min(left.Memory, n.FreeMemory-since.memory)}
+	}
+	if r, ok := n.latest(now); ok && !a.reportsUse {
+		since := n.changed(r.at - reportLag)
+		return Kind{min(left.Cores, r.spare-since.cores), min(left.Memory, r.spareMemory-since.memory)}
+	}
+	return Kind{n.size.Cores - ours.Cores*a.allocators, n.size.Memory - ours.Memory*a.allocators}
+}
+
+// load is ρ: reported used cores and the ask over the machine's cores. What our own workloads began and
+// ceased to ask since the report counts at the share that is used of asks.
+func (a *Allocator) load(now Millis, wl *workload, n *node) float64 {
+	if n.size.Cores <= 0 {
+		return math.Inf(1)
+	}
+	used, ok := a.used(now, n)
+	if !ok {
+		sum, heard := 0.0, 0.0
+		for _, m := range a.nodes {
+			if u, ok := a.used(now, m); ok && m.State == Ready && m.size.Cores > 0 {
+				sum, heard = sum+u/m.size.Cores, heard+1
+			}
+		}
+		if heard > 0 {
+			used = sum / heard * n.size.Cores
+		}
+	}
+	return (used + wl.Cores) / n.size.Cores
+}
+
+// used is the cores in use on a machine heard of lately; a report below what our own workloads there are
+// known to use is not believed.
+func (a *Allocator) used(now Millis, n *node) (float64, bool) {
+	r, ok := n.latest(now)
+	if !ok || math.IsNaN(r.used) {
+		return 0, false
+	}
+	noted := 0.0
+	for _, b := range n.ours {
+		if !math.IsNaN(b.used) {
+			noted += b.used
+		}
+	}
+	return max(0, noted, r.used+n.changed(r.at-reportLag).cores*a.useShare()), true
+}
+
+// usedMemory is the memory in use on a machine heard of lately, or 0.
+func (a *Allocator) usedMemory(now Millis, n *node) float64 {
+	r, ok := n.latest(now)
+	if !ok || math.IsNaN(r.memory) {
+		return 0
+	}
+	return max(0, r.memory+n.changed(r.at-reportLag).memory)
+}
+
+// useShare is the share of their ask in cores that workloads use.
+func (a *Allocator) useShare() float64 {
+	if len(a.useShares) == 0 {
+		return useGuess
+	}
+	sum := 0.0
+	for _, v := range a.useShares {
+		sum += v
+	}
+	return sum / float64(len(a.useShares))
+}
+
+// startTime guesses how long wl would take to run on n: our own starts that wait there, then its own, with
+// the program at hand or not, at the machine's pace and by its last starts.
+func (a *Allocator) startTime(now Millis, wl *workload, n *node) Millis {
+	wait := Millis(0)
+	for _, b := range n.ours {
+		if !b.running {
+			wait += b.wl.group.usualStart(b.warm) / startLanes
+		}
+	}
+	own := wl.group.usualStart(n.holds(wl.Service))
+	return (wait + own) / Millis(a.pace(now, n)) * Millis(n.slow(now))
+}
+
+func (g *group) usualStart(warm bool) Millis {
+	if s := g.starts[index(warm)]; len(s) > 2 {
+		return median(s)
+	}
+	if !warm {
+		return coldTimes * g.usualStart(true)
+	}
+	return firstStart
+}
+
+// barred returns the machines that symptoms speak against, worst first and never more than a part of the
+// fleet: failed contacts, a bind that is unanswered for too long, slow starts.
+func (a *Allocator) barred(now Millis) []*node {
+	var grades [3][]*node
+	ready := 0
+	for _, n := range a.nodes {
+		if n.State != Ready {
+			continue
+		}
+		ready++
+		switch {
+		case n.misses > 0 && now-n.missedAt < missPause*Millis(int(1)<<min(n.misses-1, missMost)):
+			grades[0] = append(grades[0], n)
+		case slices.ContainsFunc(n.ours, func(b *bind) bool { return a.overdue(now, b) }):
+			grades[1] = append(grades[1], n)
+		case n.slow(now) > slowTimes:
+			grades[2] = append(grades[2], n)
+		}
+	}
+	all := slices.Concat(grades[0], grades[1], grades[2])
+	return all[:min(len(all), ready/barMost)]
+}
+
+// overdue tells whether a bind has been unanswered for longer than its machine should need.
+func (a *Allocator) overdue(now Millis, b *bind) bool {
+	if b.confirmed {
+		return false
+	}
+	usual := median(a.confirms)
+	if a.byRunning {
+		usual = b.expected
+	}
+	return now-b.at > hangAfter+slowTimes*usual
+}
+
+// idle tells whether a machine holds no workload, by the list and by our own.
+func (a *Allocator) idle(now Millis, n *node) bool {
+	return len(n.ours) == 0 && a.room(now, n).Cores >= n.size.Cores
+}
+
+// chance draws a number from 0 to n-1.
+func (a *Allocator) chance(n int) int {
+	a.draws++
+	var b [16]byte
+	binary.BigEndian.PutUint64(b[:8], a.seed)
+	binary.BigEndian.PutUint64(b[8:], a.draws)
+	h := fnv.New64a()
+	h.Write(b[:])
+	return int(h.Sum64() >> 11 % uint64(n))
+}
+
+// latest returns the last report if it is fresh enough to count.
+func (n *node) latest(now Millis) (report, bool) {
+	if now-n.heard() > staleAfter {
+		return report{}, false
+	}
+	return n.reports[len(n.reports)-1], true
+}
+
+// heard is when the last report came.
+func (n *node) heard() Millis {
+	if len(n.reports) == 0 {
+		return LongAgo
+	}
+	return n.reports[len(n.reports)-1].at
+}
+
+func (n *node) change(now Millis, cores, memory float64) {
+	n.changes = append(n.changes, change{now, cores, memory})
+}
+
+// changed sums what our workloads have begun and ceased to ask since then.
+func (n *node) changed(since Millis) change {
+	sum := change{at: since}
+	for _, c := range n.changes {
+		if c.at > since {
+			sum.cores += c.cores
+			sum.memory += c.memory
+		}
+	}
+	return sum
+}
+
+// holds tells whether the service's program is at hand: a workload of ours runs it, or one did lately.
+func (n *node) holds(s ServiceID) bool {
+	return slices.Contains(n.programs, s) ||
+		slices.ContainsFunc(n.ours, func(b *bind) bool { return b.running && b.wl.Service == s })
+}
+
+// learn notes that a service's program came to n last.
+func (n *node) learn(s ServiceID) {
+	n.programs = slices.DeleteFunc(n.programs, func(o ServiceID) bool { return o == s })
+	n.programs = keep(n.programs, s, keepPrograms)
+}
+
+func (n *node) miss(now Millis) { n.misses, n.missedAt = n.misses+1, now }
+
+// turnedDown keeps asks that are no smaller away for a while; a machine that is not short of room but of
+// places to wait, or that takes nothing, gets none.
+func (n *node) turnedDown(now Millis, wl *workload, why Reason) {
+	n.declinedAt, n.declined = now, Kind{}
+	switch why {
+	case NoCores:
+		n.declined.Cores = wl.Cores
+	case NoMemory:
+		n.declined.Memory = wl.Memory
+	}
+}
+
+// slow is how many times longer than expected starts have lately taken on n, 1 at the least.
+func (n *node) slow(now Millis) float64 {
+	var recent []float64
+	for _, s := range n.slowness {
+		if now-s.at < slowFor {
+			recent = append(recent, s.value)
+		}
+	}
+	if len(recent) < 2 {
+		return 1
+	}
+	return max(1, median(recent))
+}
+
+func index(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
+}
+
+// keep appends v and drops the oldest values past most.
+func keep[T any](s []T, v T, most int) []T {
+	if len(s) >= most {
+		s = append(s[:0], s[len(s)-most+1:]...)
+	}
+	return append(s, v)
+}
+
+func median[T ~float64](s []T) T {
+	if len(s) == 0 {
+		return 0
+	}
+	s = slices.Sorted(slices.Values(s))
+	return s[len(s)/2]
+}
