Count adopted workloads as known to the list

Cause: workloads taken over at start were subtracted from the list's room a second time, so that nothing fitted for the first seconds.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -180,7 +180,7 @@
 	return a.choose(now, wl)
 }
 
-// Adopt takes over a workload that runs already.
+// Adopt takes over a workload that runs already. The list's room and the reports count it, so it is no change.
 func (a *Allocator) Adopt(now Millis, w Workload, id NodeID) Step {
 	g := &group{kind: -1}
 	if int(w.Group) < len(a.groups) {
@@ -189,6 +189,8 @@
 	wl := &workload{Workload: w, group: g}
 	b := a.hold(now, wl, a.node(id))
 	b.confirmed, b.running = true, true
+	a.placed[w.ID] = b
+	b.node.learn(w.Service)
 	return Step{Kind: Resident, Next: a.after(b)}
 }
 
@@ -216,6 +218,10 @@
 	}
 	wl.binds++
 	b := a.hold(now, wl, n)
+	n.change(now, wl.Cores, wl.Memory)
+	if a.cold(now, n) {
+		n.sends = append(n.sends, now)
+	}
 	return Step{Kind: Bind, Node: n.ID, Timeout: timeout, Next: a.after(b)}
 }
 
@@ -235,10 +241,6 @@
 	b.warm = n.holds(wl.Service)
 	b.expected = a.startTime(now, wl, n)
 	n.ours = append(n.ours, b)
-	n.change(now, wl.Cores, wl.Memory)
-	if a.cold(now, n) {
-		n.sends = append(n.sends, now)
-	}
 	return b
 }
 
