--- a/choice/choice.go
+++ b/choice/choice.go
@@ -22,7 +22,8 @@
 	moveWindow   = Millis(10e3) // ms; the design's start: shorter hotspots pass by themselves
 	movePause    = Millis(3e3)  // ms between moves off one machine: reports must show the last one first
 	moveReports  = 3            // reports; fewer within the window are no evidence
-	listLag      = Millis(2500) // ms that the list's room is behind: about the middle of what lists take
+	listLag      = Millis(750)  // ms that an entry's room is behind when it comes: reports and the list's own
+	listSpan     = Millis(2e3)  // ms within which a change of room has shown in the list, if it ever will
 	reportLag    = Millis(700)  // ms that a report is behind: its refresh and its way here
 	staleAfter   = Millis(5e3)  // ms after which a machine counts as unheard: several ends are due by then
 	probeAfter   = Millis(1500) // ms without a report after which a machine is probed, where that is allowed
@@ -81,6 +82,7 @@
 	programs   []ServiceID
 	misses     int // failed contacts in a row
 	missedAt   Millis
+	listedAt   Millis
 	declinedAt Millis
 	declined   Kind // the smallest ask that was turned down then
 	movedAt    Millis
@@ -384,7 +386,7 @@
 		if entry.Born != n.Born {
 			n.reports, n.slowness, n.programs, n.sends, n.misses = nil, nil, nil, nil, 0
 		}
-		n.Node = entry
+		n.Node, n.listedAt = entry, now
 		n.size = Kind{}
 		if int(entry.Kind) < len(a.kinds) {
 			n.size = a.kinds[entry.Kind]
@@ -420,7 +422,7 @@
 func (a *Allocator) Upkeep(now Millis) Chores {
 	c := Chores{Again: now + upkeepEvery}
 	for _, n := range a.nodes {
-		n.changes = slices.DeleteFunc(n.changes, func(c change) bool { return c.at < now-2*listLag })
+		n.changes = slices.DeleteFunc(n.changes, func(c change) bool { return c.at < now-staleAfter-reportLag })
 		n.sends = slices.DeleteFunc(n.sends, func(at Millis) bool { return at < now-a.coldWindow })
 	}
 	a.nodes = slices.DeleteFunc(a.nodes, func(n *node) bool {
@@ -633,7 +635,7 @@
 	}
 	left := Kind{n.size.Cores - ours.Cores, n.size.Memory - ours.Memory}
 	if a.roomInList {
-		since := n.changed(now - listLag)
+		since := n.changed(max(n.listedAt-listLag, now-listSpan))
 		return Kind{min(left.Cores, n.FreeCores-since.cores), min(left.Memory, n.FreeMemory-since.memory)}
 	}
 	if r, ok := n.latest(now); ok && !a.reportsUse {
