Keep room for priority groups of higher utility on a full fleet

Cause: asks, not use, fill the fleet, and early rejection then hit the large and dear workloads hardest.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -8,6 +8,7 @@
 package choice
 
 import (
+	"cmp"
 	"encoding/binary"
 	"hash/fnv"
 	"math"
@@ -38,6 +39,8 @@
 	fullPause    = Millis(1e3)  // ms for which a machine that was out of room is not offered as much again
 	barMost      = 3            // one in so many machines may be barred on symptoms; more is a shared trouble
 	timeoutFloor = Millis(1e3)  // ms; the shortest time-out of a bind: a full admission line takes as long
+	reserveFor   = Millis(3e3)  // ms of asks of higher utility that room is kept for: about what a list shows late
+	keepAsks     = 64           // asks a group: more than one group's within reserveFor
 	answerMargin = Millis(20)   // ms before the pending timeout by which the final answer is given
 	budgetSpare  = 1.5          // times the cold budget's window that ours lasts: binds bunch up on their way
 	watchQuiet   = Millis(8e3)  // ms without news after which the watch is asked for again
@@ -111,8 +114,16 @@
 	used, usedMemory   float64 // last notes; NaN before the first
 }
 
+// ask is what a workload asked for, and when.
+type ask struct {
+	at   Millis
+	size Kind
+}
+
 // group is what decisions need of a priority group.
 type group struct {
+	utility    float64
+	asks       []ask // last ones, rejected or not
 	target     Millis
 	effect     Effect
 	scope      Scope
@@ -165,7 +176,7 @@
 	}
 	for _, g := range s.Groups {
 		a.groups = append(a.groups, group{
-			target: g.Target, effect: g.Effect, scope: g.DedupScope, window: g.DedupWindow,
+			utility: g.Utility, target: g.Target, effect: g.Effect, scope: g.DedupScope, window: g.DedupWindow,
 			spread: g.Spread, spreadMost: g.SpreadMost, kind: g.Kind,
 		})
 	}
@@ -178,6 +189,7 @@
 		return Step{Kind: Rejected}
 	}
 	g := &a.groups[w.Group]
+	g.asks = keep(g.asks, ask{now, Kind{w.Cores, w.Memory}}, keepAsks)
 	wl := &workload{Workload: w, group: g, due: now + g.target, expires: now + w.Left}
 	return a.choose(now, wl)
 }
@@ -484,7 +496,7 @@
 // pick returns the machine for wl, or nil where none is feasible: those that hold the service's program
 // first, then the least loaded, a random one where loads tie.
 func (a *Allocator) pick(now Millis, wl *workload) *node {
-	barred := a.barred(now)
+	barred, kept := a.barred(now), a.reserve(now, wl)
 	type option struct {
 		n    *node
 		tier int
@@ -493,7 +505,7 @@
 	var options []option
 	best := math.MaxInt
 	for _, n := range a.nodes {
-		if !a.feasible(now, wl, n) || slices.Contains(barred, n) {
+		if !a.feasible(now, wl, n) || slices.Contains(barred, n) || kept(n) {
 			continue
 		}
 		tier := 0
@@ -535,6 +547,60 @@
 	return ties[a.chance(len(ties))].n
 }
 
+// reserve returns which machines are kept from wl for groups of higher utility: a full fleet that takes all
+// alike turns away what is worth most, above all the large asks that only find room in one piece. Room is
+// kept for as many of their largest asks as have lately come to all allocators, at least one; while there
+// is less, the machines with the most room fill up no further.
+// It should also help when any trouble takes room away. It could hurt where little of high utility follows.
+func (a *Allocator) reserve(now Millis, wl *workload) func(*node) bool {
+	var largest Kind
+	wanted := 0.0
+	for i := range a.groups {
+		g := &a.groups[i]
+		if g.utility <= wl.group.utility {
+			continue
+		}
+		for _, o := range g.asks {
+			largest.Cores, largest.Memory = max(largest.Cores, o.size.Cores), max(largest.Memory, o.size.Memory)
+			if now-o.at < reserveFor {
+				wanted += a.allocators
+			}
+		}
+	}
+	if largest.Cores <= 0 || largest.Memory <= 0 {
+		return func(*node) bool { return false }
+	}
+	wanted = max(1, wanted)
+	fits := func(room Kind) float64 { return min(room.Cores/largest.Cores, room.Memory/largest.Memory) }
+	type roomy struct {
+		n      *node
+		places float64
+	}
+	var by []roomy
+	total := 0.0
+	for _, n := range a.nodes {
+		if n.State == Ready {
+			places := fits(a.room(now, n))
+			by = append(by, roomy{n, places})
+			total += max(0, math.Floor(places))
+		}
+	}
+	slices.SortStableFunc(by, func(x, y roomy) int { return cmp.Compare(y.places, x.places) })
+	return func(n *node) bool {
+		at := slices.IndexFunc(by, func(r roomy) bool { return r.n == n })
+		if at < 0 {
+			return false
+		}
+		room := a.room(now, n)
+		after := fits(Kind{room.Cores - wl.Cores, room.Memory - wl.Memory})
+		lost := max(0, math.Floor(by[at].places)) - max(0, math.Floor(after))
+		if total < wanted {
+			return float64(at) < wanted
+		}
+		return total-lost < wanted
+	}
+}
+
 // feasible tells whether wl may go to n: by the rules, by the room seen less our recent binds, and by the cap.
 func (a *Allocator) feasible(now Millis, wl *workload, n *node) bool {
 	g := wl.group
--- a/choice/types.go
+++ b/choice/types.go
@@ -49,7 +49,8 @@
 
 // Group holds the settings of one priority group.
 type Group struct {
-	Target      Millis // a start within this is in time
+	Target      Millis  // a start within this is in time
+	Utility     float64 // of one second of full service, at mean size
 	Effect      Effect
 	DedupScope  Scope   // machines that drop a repeat
 	DedupWindow Millis  // how long they remember
--- a/internal/drill/settings.go
+++ b/internal/drill/settings.go
@@ -148,6 +148,7 @@
 		at := fmt.Sprintf("request_classes.%d.", i)
 		g := choice.Group{
 			Target:     c.millis(at + "aim_ns"),
+			Utility:    c.number(at + "value"),
 			Effect:     word(c, at+"effect", c.text(at+"effect"), effects),
 			SpreadMost: int(c.element("family_info.spread_most", i)),
 			Calm:       c.element("family_info.calm_level", i),
