--- a/choice/choice.go
+++ b/choice/choice.go
@@ -16,7 +16,8 @@
 )
 
 const (
-	loadCap      = 0.8          // share of cores; the design's start: past it the residents' stretch is over 5
+	loadCap      = 0.8          // share of cores; the design's start, for groups that tell nothing of crowding
+	capFade      = 0.5          // share of the way from full service to none that a crowded machine may go
 	memoryCap    = 0.9          // share of memory in use; leaves a tenth for growth after a start
 	tieBand      = 0.05         // share of cores; the design's: finer than the reports' noise
 	zoneBand     = 0.1          // share of cores that our own zone may be fuller where crossing has a price
@@ -123,7 +124,8 @@
 // group is what decisions need of a priority group.
 type group struct {
 	utility    float64
-	asks       []ask // last ones, rejected or not
+	cap        float64 // of ρ
+	asks       []ask   // last ones, rejected or not
 	target     Millis
 	effect     Effect
 	scope      Scope
@@ -175,8 +177,12 @@
 		watchAsked: LongAgo, listHeard: LongAgo, listFailedAt: LongAgo,
 	}
 	for _, g := range s.Groups {
+		limit := loadCap
+		if g.Calm > 0 {
+			limit = min(1, g.Calm+capFade*g.Fade)
+		}
 		a.groups = append(a.groups, group{
-			utility: g.Utility, target: g.Target, effect: g.Effect, scope: g.DedupScope, window: g.DedupWindow,
+			utility: g.Utility, cap: limit, target: g.Target, effect: g.Effect, scope: g.DedupScope, window: g.DedupWindow,
 			spread: g.Spread, spreadMost: g.SpreadMost, kind: g.Kind,
 		})
 	}
@@ -619,7 +625,7 @@
 	if used := a.usedMemory(now, n); used+wl.Memory > memoryCap*n.size.Memory && used > 0 {
 		return false
 	}
-	return a.load(now, wl, n) < loadCap
+	return a.load(now, wl, n) < g.cap
 }
 
 // repeatable tells whether a further bind of a workload that may run already is harmless on n.
