--- a/choice/choice.go
+++ b/choice/choice.go
@@ -40,7 +40,7 @@
 	fullPause    = Millis(1e3)  // ms for which a machine that was out of room is not offered as much again
 	barMost      = 3            // one in so many machines may be barred on symptoms; more is a shared trouble
 	timeoutFloor = Millis(1e3)  // ms; the shortest time-out of a bind: a full admission line takes as long
-	reserveFor   = Millis(3e3)  // ms of asks of higher utility that room is kept for: about what a list shows late
+	reserveFor   = Millis(1e3)  // ms of asks of higher utility that room is kept for: what a list shows late
 	keepAsks     = 64           // asks a group: more than one group's within reserveFor
 	answerMargin = Millis(20)   // ms before the pending timeout by which the final answer is given
 	budgetSpare  = 1.5          // times the cold budget's window that ours lasts: binds bunch up on their way
@@ -555,12 +555,12 @@
 
 // reserve returns which machines are kept from wl for groups of higher utility: a full fleet that takes all
 // alike turns away what is worth most, above all the large asks that only find room in one piece. Room is
-// kept for as many of their largest asks as have lately come to all allocators, at least one; while there
-// is less, the machines with the most room fill up no further.
+// kept for what they have lately asked of all allocators, at least for one of their largest; while there is
+// less, the machines with the most room fill up no further.
 // It should also help when any trouble takes room away. It could hurt where little of high utility follows.
 func (a *Allocator) reserve(now Millis, wl *workload) func(*node) bool {
 	var largest Kind
-	wanted := 0.0
+	var recent []Kind
 	for i := range a.groups {
 		g := &a.groups[i]
 		if g.utility <= wl.group.utility {
@@ -569,14 +569,18 @@
 		for _, o := range g.asks {
 			largest.Cores, largest.Memory = max(largest.Cores, o.size.Cores), max(largest.Memory, o.size.Memory)
 			if now-o.at < reserveFor {
-				wanted += a.allocators
+				recent = append(recent, o.size)
 			}
 		}
 	}
 	if largest.Cores <= 0 || largest.Memory <= 0 {
 		return func(*node) bool { return false }
 	}
-	wanted = max(1, wanted)
+	wanted := 0.0
+	for _, size := range recent {
+		wanted += a.allocators * max(size.Cores/largest.Cores, size.Memory/largest.Memory)
+	}
+	wanted = max(1, math.Ceil(wanted))
 	fits := func(room Kind) float64 { return min(room.Cores/largest.Cores, room.Memory/largest.Memory) }
 	type roomy struct {
 		n      *node
