--- a/choice/choice.go
+++ b/choice/choice.go
@@ -20,7 +20,7 @@
 	capFade      = 0.5          // share of the way from full service to none that a crowded machine may go
 	memoryCap    = 0.9          // share of memory in use; leaves a tenth for growth after a start
 	tieBand      = 0.05         // share of cores; the design's: finer than the reports' noise
-	zoneBand     = 0.1          // share of cores that our own zone may be fuller where crossing has a price
+	zoneBand     = 0.3          // share of cores that our own zone may be fuller where crossing has a price
 	moveWindow   = Millis(10e3) // ms; the design's start: shorter hotspots pass by themselves
 	movePause    = Millis(3e3)  // ms between moves off one machine: reports must show the last one first
 	moveReports  = 3            // reports; fewer within the window are no evidence
@@ -41,6 +41,7 @@
 	barMost      = 3            // one in so many machines may be barred on symptoms; more is a shared trouble
 	timeoutFloor = Millis(1e3)  // ms; the shortest time-out of a bind: a full admission line takes as long
 	reserveFor   = Millis(1e3)  // ms of asks of higher utility that room is kept for: what a list shows late
+	unmetFor     = Millis(3e3)  // ms for which an ask that found no machine is taken to come again
 	keepAsks     = 64           // asks a group: more than one group's within reserveFor
 	answerMargin = Millis(20)   // ms before the pending timeout by which the final answer is given
 	budgetSpare  = 1.5          // times the cold budget's window that ours lasts: binds bunch up on their way
@@ -126,6 +127,7 @@
 	utility    float64
 	cap        float64 // of ρ
 	asks       []ask   // last ones, rejected or not
+	unmet      []ask   // last ones that found no machine
 	target     Millis
 	effect     Effect
 	scope      Scope
@@ -230,6 +232,7 @@
 	}
 	n := a.pick(now, wl)
 	if n == nil {
+		wl.group.unmet = keep(wl.group.unmet, ask{now, Kind{wl.Cores, wl.Memory}}, keepAsks)
 		return giveUp(wl)
 	}
 	timeout := left
@@ -572,16 +575,25 @@
 				recent = append(recent, o.size)
 			}
 		}
+		for _, o := range g.unmet {
+			if now-o.at < unmetFor {
+				recent = append(recent, o.size)
+			}
+		}
 	}
 	if largest.Cores <= 0 || largest.Memory <= 0 {
 		return func(*node) bool { return false }
 	}
 	wanted := 0.0
 	for _, size := range recent {
-		wanted += a.allocators * max(size.Cores/largest.Cores, size.Memory/largest.Memory)
+		wanted += max(size.Cores/largest.Cores, size.Memory/largest.Memory)
 	}
 	wanted = max(1, math.Ceil(wanted))
-	fits := func(room Kind) float64 { return min(room.Cores/largest.Cores, room.Memory/largest.Memory) }
+	places := func(n *node, room Kind) float64 {
+		used, _ := a.used(now, n)
+		return min(room.Cores/largest.Cores, room.Memory/largest.Memory,
+			(loadCap*n.size.Cores-used)/largest.Cores, (memoryCap*n.size.Memory-a.usedMemory(now, n))/largest.Memory)
+	}
 	type roomy struct {
 		n      *node
 		places float64
@@ -590,9 +602,9 @@
 	total := 0.0
 	for _, n := range a.nodes {
 		if n.State == Ready {
-			places := fits(a.room(now, n))
-			by = append(by, roomy{n, places})
-			total += max(0, math.Floor(places))
+			p := places(n, a.room(now, n))
+			by = append(by, roomy{n, p})
+			total += max(0, math.Floor(p))
 		}
 	}
 	slices.SortStableFunc(by, func(x, y roomy) int { return cmp.Compare(y.places, x.places) })
@@ -602,7 +614,7 @@
 			return false
 		}
 		room := a.room(now, n)
-		after := fits(Kind{room.Cores - wl.Cores, room.Memory - wl.Memory})
+		after := places(n, Kind{room.Cores - wl.Cores, room.Memory - wl.Memory})
 		lost := max(0, math.Floor(by[at].places)) - max(0, math.Floor(after))
 		if total < wanted {
 			return float64(at) < wanted
