Let allocators meet where a program is started cold

Cause: with many allocators each started the same program in a place of its own. It should also help after a deploy or a flush of kept programs. It could hurt where a hash crowds the services on few machines; the tie band bounds that.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -553,7 +553,14 @@
 	if len(ties) == 0 {
 		return nil
 	}
-	return ties[a.chance(len(ties))].n
+	if best%2 == 0 || a.allocators == 1 {
+		return ties[a.chance(len(ties))].n
+	}
+	// No machine is known to hold the program. Allocators that cannot talk to each other would start it in as
+	// many places as there are allocators; a rank that all work out alike lets the later ones find it there.
+	return slices.MaxFunc(ties, func(x, y option) int {
+		return cmp.Compare(rank(wl.Service, x.n.ID), rank(wl.Service, y.n.ID))
+	}).n
 }
 
 // reserve returns which machines are kept from wl for groups of higher utility: a full fleet that takes all
@@ -857,12 +864,21 @@
 // chance draws a number from 0 to n-1.
 func (a *Allocator) chance(n int) int {
 	a.draws++
+	return int(hash(a.seed, a.draws) % uint64(n))
+}
+
+// rank orders machines for a service, alike at every allocator and differently for every service.
+func rank(s ServiceID, n NodeID) uint64 {
+	return hash(uint64(n), uint64(s))
+}
+
+func hash(x, y uint64) uint64 {
 	var b [16]byte
-	binary.BigEndian.PutUint64(b[:8], a.seed)
-	binary.BigEndian.PutUint64(b[8:], a.draws)
+	binary.BigEndian.PutUint64(b[:8], x)
+	binary.BigEndian.PutUint64(b[8:], y)
 	h := fnv.New64a()
 	h.Write(b[:])
-	return int(h.Sum64() >> 11 % uint64(n))
+	return h.Sum64() >> 11
 }
 
 // latest returns the last report if it is fresh enough to count.
