--- a/choice/choice.go
+++ b/choice/choice.go
@@ -162,6 +162,8 @@
 	placed       map[WorkloadID]*bind
 	confirms     []Millis
 	useShares    []float64
+	mean         float64 // load, as of meanAt
+	meanAt       Millis
 	watchAsked   Millis
 	listHeard    Millis
 	listFailedAt Millis
@@ -748,19 +750,26 @@
 	}
 	used, ok := a.used(now, n)
 	if !ok {
-		sum, heard := 0.0, 0.0
-		for _, m := range a.nodes {
-			if u, ok := a.used(now, m); ok && m.State == Ready && m.size.Cores > 0 {
-				sum, heard = sum+u/m.size.Cores, heard+1
-			}
-		}
-		if heard > 0 {
-			used = sum / heard * n.size.Cores
-		}
+		used = a.meanLoad(now) * n.size.Cores
 	}
 	return (used + wl.Cores) / n.size.Cores
 }
 
+// meanLoad is the load of the machines heard of lately, as worked out once for each time.
+func (a *Allocator) meanLoad(now Millis) float64 {
+	if a.meanAt == now {
+		return a.mean
+	}
+	sum, heard := 0.0, 0.0
+	for _, m := range a.nodes {
+		if u, ok := a.used(now, m); ok && m.State == Ready && m.size.Cores > 0 {
+			sum, heard = sum+u/m.size.Cores, heard+1
+		}
+	}
+	a.meanAt, a.mean = now, sum/max(1, heard)
+	return a.mean
+}
+
 // used is the cores in use on a machine heard of lately; a report below what our own workloads there are
 // known to use is not believed.
 func (a *Allocator) used(now Millis, n *node) (float64, bool) {
