--- a/choice/choice.go
+++ b/choice/choice.go
@@ -178,7 +178,7 @@
 		coldWindow: s.OverloadFor * budgetSpare, mustAsk: s.MustAsk, byRunning: s.ConfirmsRunning,
 		reportsUse: s.ReportsUse, roomInList: s.RoomInList, allocators: float64(n), maxBinds: s.MaxBinds,
 		mayProbe: s.MayProbe, seed: seed, known: map[NodeID]*node{}, placed: map[WorkloadID]*bind{},
-		watchAsked: LongAgo, listHeard: LongAgo, listFailedAt: LongAgo,
+		meanAt: LongAgo, watchAsked: LongAgo, listHeard: LongAgo, listFailedAt: LongAgo,
 	}
 	for _, g := range s.Groups {
 		limit := loadCap
--- /dev/null
+++ b/choice/choice_test.go
@@ -0,0 +1,320 @@
+package choice
+
+import (
+	"math"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+func TestLoadCountsReportedUseAndTheAsk(t *testing.T) {
+	a := fleet(t, 1)
+	heard(a, 0, 1, 4)
+	assert.InDelta(t, 0.5, a.load(0, newAsk(a, 0, 1, 1), a.known[1]), 1e-9)
+}
+
+func TestUnheardMachineTakesMeanLoad(t *testing.T) {
+	a := fleet(t, 3)
+	heard(a, 0, 1, 2)
+	heard(a, 0, 2, 4)
+	assert.InDelta(t, 0.3+0.1, a.load(0, newAsk(a, 0, 1, 1), a.known[3]), 1e-9)
+}
+
+func TestPickTakesLeastLoadedAndThenTheMachineThatRunsTheService(t *testing.T) {
+	a := fleet(t, 2)
+	heard(a, 0, 1, 1)
+	heard(a, 0, 2, 5)
+	wl := newAsk(a, 0, 1, 1)
+	assert.Equal(t, NodeID(1), a.pick(0, wl).ID)
+	a.known[2].learn(wl.Service)
+	assert.Equal(t, NodeID(2), a.pick(0, wl).ID)
+}
+
+func TestFeasibleKeepsTheCapAndTheRoomOfBothAsks(t *testing.T) {
+	for name, c := range map[string]struct {
+		cores, memory, used float64
+		want                bool
+	}{
+		"fits":             {1, 1, 1, true},
+		"cores do not fit": {11, 1, 0, false},
+		"nor memory":       {1, 21, 0, false},
+		"over the cap":     {2, 1, 8, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			a := fleet(t, 1)
+			heard(a, 0, 1, c.used)
+			assert.Equal(t, c.want, a.feasible(0, newAsk(a, 0, c.cores, c.memory), a.known[1]))
+		})
+	}
+}
+
+func TestRoomIsLessByOurBindsSinceTheEntry(t *testing.T) {
+	a := fleet(t, 1)
+	a.known[1].change(0, 6, 6)
+	assert.Equal(t, Kind{4, 14}, a.room(0, a.known[1]))
+	assert.Equal(t, Kind{10, 20}, a.room(listSpan+1, a.known[1]), "the list shows it by then")
+}
+
+func TestAdoptedWorkloadsAreNotSubtractedTwice(t *testing.T) {
+	a := fleet(t, 1)
+	a.known[1].FreeCores = 4
+	a.Adopt(0, Workload{ID: 9, Service: 1, Cores: 6, Memory: 6}, 1)
+	assert.InDelta(t, 4, a.room(0, a.known[1]).Cores, 1e-9)
+	assert.True(t, a.known[1].holds(1))
+}
+
+func TestFullFleetRejectsEarly(t *testing.T) {
+	a := fleet(t, 1)
+	a.known[1].FreeCores = 0
+	assert.Equal(t, Rejected, a.Place(0, Workload{Cores: 1, Memory: 1, Left: 5000}).Kind)
+}
+
+func TestEmptyListWaitsAndThenRejects(t *testing.T) {
+	a := fleet(t, 0)
+	s := a.Place(0, Workload{Cores: 1, Memory: 1, Left: 5000})
+	require.Equal(t, Wait, s.Kind)
+	assert.Equal(t, Rejected, s.Next(999, Result{Kind: Due}).Kind)
+	assert.Equal(t, Done, s.Next(10, Result{Kind: Withdrawn}).Kind)
+}
+
+// Rules 1 and 2: what follows each outcome, by group.
+func TestNextStepAfterABind(t *testing.T) {
+	for name, c := range map[string]struct {
+		group GroupID
+		kind  ResultKind
+		want  StepKind
+	}{
+		"restartable declined":               {restartable, Declined, Bind},
+		"restartable timed out":              {restartable, TimedOut, Bind},
+		"restartable unclear":                {restartable, Unclear, Bind},
+		"run-once declined":                  {runOnce, Declined, Bind},
+		"run-once unreachable":               {runOnce, Unreachable, Bind},
+		"run-once timed out":                 {runOnce, TimedOut, Unschedulable},
+		"run-once unclear":                   {runOnce, Unclear, Unschedulable},
+		"run-once not sent":                  {runOnce, NotSent, Rejected},
+		"run-once confirmed":                 {runOnce, Confirmed, Resident},
+		"deduplicated everywhere, timed out": {dedupAll, TimedOut, Bind},
+		"deduplicated in a cell, timed out":  {dedupCell, TimedOut, Bind},
+		"deduplicated in a cell, declined":   {dedupCell, Declined, Bind},
+		"withdrawn with the bind still out":  {restartable, Withdrawn, Resident},
+	} {
+		t.Run(name, func(t *testing.T) {
+			a := fleet(t, 2) // each in a cell of its own
+			s := a.Place(0, Workload{Group: c.group, Cores: 1, Memory: 1, Left: 9000})
+			require.Equal(t, Bind, s.Kind)
+			assert.Equal(t, c.want, s.Next(100, Result{Kind: c.kind}).Kind)
+		})
+	}
+}
+
+func TestDeduplicatedIsNotRejectedOnceItMayRun(t *testing.T) {
+	for g, want := range map[GroupID]StepKind{dedupCell: Unschedulable, dedupAll: Rejected, restartable: Rejected} {
+		a := fleet(t, 1)
+		s := a.Place(0, Workload{Group: g, Cores: 1, Memory: 1, Left: 9000})
+		a.List(1, Changes, []Node{entry(1, Draining)})
+		assert.Equal(t, want, s.Next(100, Result{Kind: Unclear}).Kind)
+	}
+}
+
+func TestNothingFollowsAWithdrawnWorkload(t *testing.T) {
+	a := fleet(t, 2)
+	s := a.Place(0, Workload{Cores: 1, Memory: 1, Left: 9000}).Next(1, Result{Kind: Withdrawn})
+	assert.Equal(t, Done, s.Next(2, Result{Kind: Declined}).Kind)
+	assert.Empty(t, a.known[1].ours)
+	assert.Empty(t, a.known[2].ours)
+}
+
+func TestAnswerComesBeforeThePendingTimeout(t *testing.T) {
+	a := fleet(t, 2)
+	s := a.Place(0, Workload{Group: runOnce, Cores: 1, Memory: 1, Left: 3000})
+	assert.Equal(t, 3000-answerMargin, s.Timeout)
+	s = a.Place(0, Workload{Cores: 1, Memory: 1, Left: 3000})
+	assert.Equal(t, Rejected, s.Next(2990, Result{Kind: TimedOut}).Kind)
+}
+
+func TestBindsEndAtTheMost(t *testing.T) {
+	a := fleet(t, 9)
+	s := a.Place(0, Workload{Cores: 1, Memory: 1, Left: 9000})
+	for range 3 {
+		require.Equal(t, Bind, s.Kind)
+		s = s.Next(1, Result{Kind: Declined, Reason: TooManyWaiting})
+	}
+	assert.Equal(t, Rejected, s.Kind)
+}
+
+func TestRepeatsStayInScopeAndWindow(t *testing.T) {
+	a := fleet(t, 2)
+	wl := newAsk(a, dedupCell, 1, 1)
+	wl.maybe = &bind{wl: wl, node: a.known[1], at: 0}
+	assert.True(t, repeatable(4000, wl, a.known[1]))
+	assert.False(t, repeatable(4000, wl, a.known[2]), "another cell")
+	assert.False(t, repeatable(5000, wl, a.known[1]), "past the window")
+}
+
+// Rule 3: nothing goes to a machine that drains, is gone, or is missing from a whole list.
+func TestDrainedMachinesGetNothing(t *testing.T) {
+	a := fleet(t, 2)
+	a.List(1, Changes, []Node{entry(1, Draining)})
+	assert.False(t, a.feasible(1, newAsk(a, 0, 1, 1), a.known[1]))
+	a.List(2, Whole, []Node{entry(1, Ready)})
+	assert.True(t, a.feasible(2, newAsk(a, 0, 1, 1), a.known[1]))
+	assert.False(t, a.feasible(2, newAsk(a, 0, 1, 1), a.known[2]))
+}
+
+func TestWatchIsAskedForAndKeptAlive(t *testing.T) {
+	a := fleet(t, 1)
+	a.mustAsk = true
+	require.True(t, a.Upkeep(100).Watch)
+	assert.False(t, a.Upkeep(200).Watch)
+	a.List(300, Failed, nil)
+	assert.False(t, a.Upkeep(400).Watch, "not at once")
+	assert.True(t, a.Upkeep(100+watchRetry+1).Watch, "after a failure")
+	a.List(2000, Changes, nil)
+	assert.False(t, a.Upkeep(2000+watchQuiet-1).Watch)
+	assert.True(t, a.Upkeep(2000+watchQuiet+1).Watch, "after a long quiet")
+}
+
+// Rule 4: all allocators together stay within what a cold machine bears.
+func TestColdMachineGetsOurShareOnARamp(t *testing.T) {
+	a := fleet(t, 1)
+	a.coldFor, a.coldFrom, a.coldShare, a.coldWindow = 10e3, 0.25, 8, 3000
+	n := a.known[1]
+	n.Born = 0
+	sent := func(now Millis) (most int) {
+		for n.sends = nil; a.coldAllows(now, n); most++ {
+			n.sends = append(n.sends, now)
+		}
+		return most
+	}
+	assert.Equal(t, 2, sent(0))
+	assert.Equal(t, 5, sent(5000))
+	assert.Equal(t, 8, sent(9999))
+	a.coldShare = 0
+	assert.False(t, a.coldAllows(9999, n), "where a share is none at all")
+}
+
+func TestColdShareIsSplitByAllocators(t *testing.T) {
+	assert.InDelta(t, 7, New(Settings{Allocators: 3, ColdBears: 23}, 1).coldShare, 0)
+}
+
+// Rule 5: a service's workloads in one place never pass the most.
+func TestSpreadIsKept(t *testing.T) {
+	for name, c := range map[string]struct {
+		scope      Scope
+		here, next bool
+	}{
+		"machine": {ScopeNode, false, true},
+		"cell":    {ScopeCell, false, true},
+		"zone":    {ScopeZone, false, false},
+		"none":    {ScopeNone, true, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			a := fleet(t, 2) // cells of their own, one zone
+			wl := newAsk(a, 0, 1, 1)
+			wl.group.spread, wl.group.spreadMost = c.scope, 1
+			a.hold(0, wl, a.known[1])
+			assert.Equal(t, c.here, a.spreadAllows(wl, a.known[1]))
+			assert.Equal(t, c.next, a.spreadAllows(wl, a.known[2]))
+		})
+	}
+}
+
+func TestMoveTakesTheTaskFurthestOverItsAsk(t *testing.T) {
+	a := fleet(t, 2)
+	n := a.known[1]
+	for i, used := range []float64{1.5, 4, 0.5} {
+		b := a.hold(0, newAsk(a, 0, 1, 1), n)
+		b.running, b.used, b.wl.ID = true, used, WorkloadID(i)
+	}
+	n.reports = []report{{at: 0, used: 9}, {at: 5e3, used: 9}, {at: 10e3, used: 9}}
+	heard(a, 9e3, 2, 1)
+	require.NotNil(t, a.victim(10e3, n))
+	assert.Equal(t, WorkloadID(1), a.victim(10e3, n).wl.ID)
+	assert.Nil(t, a.victim(9e3, n), "not a window long")
+	n.reports[1].used = 5
+	assert.Nil(t, a.victim(10e3, n), "calm in between")
+	n.reports[1].used = 9
+	assert.Nil(t, a.victim(14e3, n), "no evidence that it is still hot")
+}
+
+func TestReserveKeepsTheRoomiestMachineForLargeDearAsks(t *testing.T) {
+	a := fleet(t, 2)
+	a.known[1].FreeCores, a.known[2].FreeCores = 6.5, 3
+	a.groups[runOnce].asks = []ask{{0, Kind{6, 6}}}
+	kept := a.reserve(60e3, newAsk(a, 0, 1, 1))
+	assert.True(t, kept(a.known[1]))
+	assert.False(t, kept(a.known[2]))
+	assert.False(t, a.reserve(60e3, newAsk(a, runOnce, 1, 1))(a.known[1]), "not from the dear group itself")
+	a.known[1].FreeCores = 5
+	assert.True(t, a.reserve(60e3, newAsk(a, 0, 1, 1))(a.known[1]), "room builds up where most of it is")
+}
+
+func TestAllocatorsMeetOnAColdStart(t *testing.T) {
+	picks := map[ServiceID]NodeID{}
+	for seed := range uint64(4) {
+		a := fleet(t, 6)
+		a.seed, a.allocators = seed, 4
+		for s := range ServiceID(20) {
+			wl := newAsk(a, 0, 1, 1)
+			wl.Service = s
+			n := a.pick(0, wl).ID
+			if seed > 0 {
+				assert.Equal(t, picks[s], n)
+			}
+			picks[s] = n
+		}
+	}
+}
+
+func TestBarredMachinesStayAPartOfTheFleet(t *testing.T) {
+	a := fleet(t, 6)
+	a.known[3].miss(0)
+	require.Len(t, a.barred(1), 1)
+	for _, n := range a.nodes {
+		n.miss(0)
+	}
+	assert.Len(t, a.barred(1), 2, "a trouble that all share bars no more than a third")
+	assert.NotContains(t, a.barred(2*missPause+1), a.known[3], "it is tried again")
+}
+
+func TestUnansweredBindBarsItsMachine(t *testing.T) {
+	a := fleet(t, 3)
+	a.hold(0, newAsk(a, 0, 1, 1), a.known[2])
+	assert.Empty(t, a.barred(100))
+	assert.Equal(t, []*node{a.known[2]}, a.barred(hangAfter+slowTimes*firstStart*coldTimes+100))
+}
+
+func TestTurnedDownAskIsNotOfferedAgainForAWhile(t *testing.T) {
+	a := fleet(t, 1)
+	n := a.known[1]
+	n.turnedDown(0, newAsk(a, 0, 2, 2), NoCores)
+	assert.False(t, a.feasible(1, newAsk(a, 0, 2, 1), n))
+	assert.True(t, a.feasible(1, newAsk(a, 0, 1, 1), n))
+	assert.True(t, a.feasible(fullPause+1, newAsk(a, 0, 2, 1), n))
+}
+
+func TestOddEventsChangeNothing(t *testing.T) {
+	a := fleet(t, 1)
+	a.Note(0, 77, CoresUsed, 3)
+	a.Report(0, 99, Load{SpareCores: 1})
+	a.Report(0, 1, Load{SpareCores: math.NaN(), SpareMemory: math.NaN(), Utilization: math.NaN()})
+	a.Probed(0, 99, false, nil)
+	_, ok := a.used(0, a.known[1])
+	assert.False(t, ok, "a report without values tells nothing")
+	a.List(0, Whole, nil)
+	a.Upkeep(0)
+	assert.Empty(t, a.nodes)
+	assert.Equal(t, Rejected, a.Place(0, Workload{Group: 99}).Kind)
+}
+
+func TestSameCallsSameResults(t *testing.T) {
+	run := func() (nodes []NodeID) {
+		a := fleet(t, 5)
+		for i := range 40 {
+			nodes = append(nodes, a.Place(Millis(i), Workload{ID: WorkloadID(i), Cores: 0.1, Left: 5000}).Node)
+		}
+		return nodes
+	}
+	assert.Equal(t, run(), run())
+}
