--- a/choice/choice.go
+++ b/choice/choice.go
@@ -31,7 +31,7 @@
 	probeAfter   = Millis(1500) // ms without a report after which a machine is probed, where that is allowed
 	keepSamples  = 16           // samples of a kind a machine: enough for a median and for the move window
 	keepStarts   = 32           // samples over the whole fleet: a steady median that still follows the day
-	keepPrograms = 4            // programs that a machine is taken to keep after their last task
+	keepPrograms = 8            // programs that a machine is taken to keep after their last task
 	hangAfter    = Millis(800)  // ms beyond the usual for which an unanswered bind hints at no hang yet
 	slowTimes    = 3            // times the usual: longer than noise makes a start
 	slowFor      = Millis(15e3) // ms for which a slow start is held against a machine
@@ -49,7 +49,6 @@
 	watchRetry   = Millis(1500) // ms after a failed list call before the next
 	listWait     = Millis(50)   // ms between looks for a first machine, while the list is still empty
 	upkeepEvery  = Millis(250)  // ms between chores: short against every window above
-	startLanes   = 2            // starts that a machine does at once, for guessing the wait
 	firstStart   = Millis(300)  // ms that a warm start is taken to need before any was seen
 	coldTimes    = 6            // times as long that a start without a kept program takes, before any was seen
 	useGuess     = 0.6          // share of the ask that is used, before any note came
@@ -264,7 +263,7 @@
 func (a *Allocator) hold(now Millis, wl *workload, n *node) *bind {
 	b := &bind{wl: wl, node: n, at: now, used: math.NaN(), usedMemory: math.NaN()}
 	b.warm = n.holds(wl.Service)
-	b.expected = a.startTime(now, wl, n)
+	b.expected = wl.group.usualStart(b.warm) / Millis(a.pace(now, n))
 	n.ours = append(n.ours, b)
 	return b
 }
@@ -523,11 +522,8 @@
 		if !n.holds(wl.Service) {
 			tier++
 		}
-		if now+a.startTime(now, wl, n) > wl.due {
-			tier += 2
-		}
 		if a.fleetPriced && a.idle(now, n) {
-			tier += 4
+			tier += 2
 		}
 		options = append(options, option{n, tier, a.load(now, wl, n)})
 		best = min(best, tier)
@@ -807,19 +803,7 @@
 	return sum / float64(len(a.useShares))
 }
 
-// startTime guesses how long wl would take to run on n: our own starts that wait there, then its own, with
-// the program at hand or not, at the machine's pace and by its last starts.
-func (a *Allocator) startTime(now Millis, wl *workload, n *node) Millis {
-	wait := Millis(0)
-	for _, b := range n.ours {
-		if !b.running {
-			wait += b.wl.group.usualStart(b.warm) / startLanes
-		}
-	}
-	own := wl.group.usualStart(n.holds(wl.Service))
-	return (wait + own) / Millis(a.pace(now, n)) * Millis(n.slow(now))
-}
-
+// usualStart is how long starts with or without the program at hand have lately taken.
 func (g *group) usualStart(warm bool) Millis {
 	if s := g.starts[index(warm)]; len(s) > 2 {
 		return median(s)
