--- a/choice/choice.go
+++ b/choice/choice.go
@@ -729,7 +729,7 @@
 	left := Kind{n.size.Cores - ours.Cores, n.size.Memory - ours.Memory}
 	if a.roomInList {
 		since := n.changed(max(n.listedAt-listLag, now-listSpan))
-		return Kind{min(left.Cores, n.FreeCores-since.cores) + n.size.Cores/2, min(left.Memory, n.FreeMemory-since.memory) + n.size.Memory/2}
+		return Kind{min(left.Cores, n.FreeCores-since.cores), min(left.Memory, n.FreeMemory-since.memory)}
 	}
 	if r, ok := n.latest(now); ok && !a.reportsUse {
 		since := n.changed(r.at - reportLag)
