--- a/choice/choice.go
+++ b/choice/choice.go
@@ -542,7 +542,12 @@
 		}
 		return in
 	}
-	ties := within(tieBand, false)
+	meet := best%2 == 1 && a.allocators > 1
+	band := tieBand
+	if meet {
+		band = math.Inf(1)
+	}
+	ties := within(band, false)
 	if a.zonePriced {
 		if near := within(zoneBand, true); len(near) > 0 {
 			ties = near
@@ -551,7 +556,7 @@
 	if len(ties) == 0 {
 		return nil
 	}
-	if best%2 == 0 || a.allocators == 1 {
+	if !meet {
 		return ties[a.chance(len(ties))].n
 	}
 	// No machine is known to hold the program. Allocators that cannot talk to each other would start it in as
