Ramp cold machines up over 5 s within the share that is surely borne

Cause: a machine just up got a quarter of the share that it always bears and hardly more for seconds, so that deploys and enlargements left the old machines crowded.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -44,7 +44,8 @@
 	unmetFor     = Millis(3e3)  // ms for which an ask that found no machine is taken to come again
 	keepAsks     = 64           // asks a group: more than one group's within reserveFor
 	answerMargin = Millis(20)   // ms before the pending timeout by which the final answer is given
-	budgetSpare  = 1.5          // times the cold budget's window that ours lasts: binds bunch up on their way
+	budgetSpare  = 1.2          // times the cold budget's window that ours lasts: binds bunch up on their way
+	rampFor      = Millis(5e3)  // ms over which our binds to a machine just up rise to all that it surely bears
 	watchQuiet   = Millis(8e3)  // ms without news after which the watch is asked for again
 	watchRetry   = Millis(1500) // ms after a failed list call before the next
 	listWait     = Millis(50)   // ms between looks for a first machine, while the list is still empty
@@ -712,7 +713,7 @@
 			sent++
 		}
 	}
-	return float64(sent+1) <= a.coldShare && float64(sent) < max(1, a.coldShare*a.pace(now, n))
+	return float64(sent+1) <= a.coldShare && float64(sent) < max(1, a.coldShare*min(1, a.coldFrom+float64((now-n.Born)/rampFor)))
 }
 
 // pace is the share of its full pace for starts that a machine is sure to have.
