--- a/choice/choice.go
+++ b/choice/choice.go
@@ -144,7 +144,6 @@
 	kinds        []Kind
 	zone         ZoneID
 	zonePriced   bool
-	fleetPriced  bool
 	coldFor      Millis
 	coldFrom     float64
 	coldShare    float64 // offers within coldWindow that are ours to send to a cold machine
@@ -173,7 +172,7 @@
 func New(s Settings, seed uint64) *Allocator {
 	n := max(1, s.Allocators)
 	a := &Allocator{
-		kinds: s.Kinds, zone: s.Zone, zonePriced: s.ZonePrice > 0, fleetPriced: s.FleetPrice > 0,
+		kinds: s.Kinds, zone: s.Zone, zonePriced: s.ZonePrice > 0,
 		coldFor: s.ColdFor, coldFrom: s.ColdFrom, coldShare: math.Floor(s.ColdBears / float64(n)),
 		coldWindow: s.OverloadFor * budgetSpare, mustAsk: s.MustAsk, byRunning: s.ConfirmsRunning,
 		reportsUse: s.ReportsUse, roomInList: s.RoomInList, allocators: float64(n), maxBinds: s.MaxBinds,
@@ -523,9 +522,6 @@
 		if !n.holds(wl.Service) {
 			tier++
 		}
-		if a.fleetPriced && a.idle(now, n) {
-			tier += 2
-		}
 		options = append(options, option{n, tier, a.load(now, wl, n)})
 		best = min(best, tier)
 	}
@@ -855,11 +851,6 @@
 	return now-b.at > hangAfter+slowTimes*usual
 }
 
-// idle tells whether a machine holds no workload, by the list and by our own.
-func (a *Allocator) idle(now Millis, n *node) bool {
-	return len(n.ours) == 0 && a.room(now, n).Cores >= n.size.Cores
-}
-
 // chance draws a number from 0 to n-1.
 func (a *Allocator) chance(n int) int {
 	a.draws++
--- a/choice/types.go
+++ b/choice/types.go
@@ -83,7 +83,6 @@
 	RoomInList      bool   // list entries carry the room that nobody has asked for
 	MaxBinds        int
 	MayProbe        bool
-	FleetPrice      float64 // price of machines in use beyond those needed
 	ZonePrice       float64 // price of running outside the allocator's zone
 }
 
--- a/internal/drill/settings.go
+++ b/internal/drill/settings.go
@@ -132,7 +132,6 @@
 		RoomInList:      c.flag("family_info.free_in_list"),
 		MaxBinds:        int(c.number("permissions.most_tries")),
 		MayProbe:        c.flag("permissions.probes"),
-		FleetPrice:      c.price("prices.fleet"),
 		ZonePrice:       c.price("prices.cross_zone"),
 	}
 	if s.MustAsk {
