--- a/choice/choice.go
+++ b/choice/choice.go
@@ -33,15 +33,13 @@
 	keepStarts   = 32           // samples over the whole fleet: a steady median that still follows the day
 	keepPrograms = 8            // programs that a machine is taken to keep after their last task
 	hangAfter    = Millis(800)  // ms beyond the usual for which an unanswered bind hints at no hang yet
-	slowTimes    = 3            // times the usual: longer than noise makes a start
-	slowFor      = Millis(15e3) // ms for which a slow start is held against a machine
+	slowTimes    = 3            // times the usual before an answer counts as late: longer than noise makes it
 	missPause    = Millis(500)  // ms away from a machine after a failed contact; doubles with each further
 	missMost     = 5            // doublings, so that a machine is tried again after 16 s at the latest
 	fullPause    = Millis(1e3)  // ms for which a machine that was out of room is not offered as much again
 	barMost      = 3            // one in so many machines may be barred on symptoms; more is a shared trouble
 	timeoutFloor = Millis(1e3)  // ms; the shortest time-out of a bind: a full admission line takes as long
 	reserveFor   = Millis(1e3)  // ms of asks of higher utility that room is kept for: what a list shows late
-	unmetFor     = Millis(3e3)  // ms for which an ask that found no machine is taken to come again
 	keepAsks     = 64           // asks a group: more than one group's within reserveFor
 	answerMargin = Millis(20)   // ms before the pending timeout by which the final answer is given
 	budgetSpare  = 1.2          // times the cold budget's window that ours lasts: binds bunch up on their way
@@ -55,12 +53,6 @@
 	useGuess     = 0.6          // share of the ask that is used, before any note came
 )
 
-// sample is one measurement with the time when it came.
-type sample struct {
-	at    Millis
-	value float64
-}
-
 // change is a step in what our own workloads ask of a machine.
 type change struct {
 	at            Millis
@@ -82,7 +74,6 @@
 	ours       []*bind // out or running, oldest first
 	changes    []change
 	reports    []report
-	slowness   []sample // times to start, over what was expected
 	sends      []Millis // binds of the last cold window
 	programs   []ServiceID
 	misses     int // failed contacts in a row
@@ -113,7 +104,7 @@
 	warm               bool
 	expected           Millis // time to start
 	confirmed, running bool
-	used, usedMemory   float64 // last notes; NaN before the first
+	used               float64 // cores by the last note; NaN before the first
 }
 
 // ask is what a workload asked for, and when.
@@ -127,7 +118,6 @@
 	utility    float64
 	cap        float64 // of ρ
 	asks       []ask   // last ones, rejected or not
-	unmet      []ask   // last ones that found no machine
 	target     Millis
 	effect     Effect
 	scope      Scope
@@ -233,7 +223,6 @@
 	}
 	n := a.pick(now, wl)
 	if n == nil {
-		wl.group.unmet = keep(wl.group.unmet, ask{now, Kind{wl.Cores, wl.Memory}}, keepAsks)
 		return giveUp(wl)
 	}
 	timeout := left
@@ -261,7 +250,7 @@
 
 // hold books a bind to its machine.
 func (a *Allocator) hold(now Millis, wl *workload, n *node) *bind {
-	b := &bind{wl: wl, node: n, at: now, used: math.NaN(), usedMemory: math.NaN()}
+	b := &bind{wl: wl, node: n, at: now, used: math.NaN()}
 	b.warm = n.holds(wl.Service)
 	b.expected = wl.group.usualStart(b.warm) / Millis(a.pace(now, n))
 	n.ours = append(n.ours, b)
@@ -336,7 +325,6 @@
 	}
 	b.running = true
 	took := now - b.at
-	b.node.slowness = keep(b.node.slowness, sample{now, float64(took / max(1, b.expected))}, keepSamples)
 	b.node.learn(b.wl.Service)
 	s := &b.wl.group.starts[index(b.warm)]
 	*s = keep(*s, took, keepStarts)
@@ -356,8 +344,6 @@
 		if b.wl.Cores > 0 {
 			a.useShares = keep(a.useShares, value/b.wl.Cores, 2*keepStarts)
 		}
-	case MemoryUsed:
-		b.usedMemory = value
 	}
 }
 
@@ -406,7 +392,7 @@
 	for _, entry := range nodes {
 		n := a.node(entry.ID)
 		if entry.Born != n.Born {
-			n.reports, n.slowness, n.programs, n.sends, n.misses = nil, nil, nil, nil, 0
+			n.reports, n.programs, n.sends, n.misses = nil, nil, nil, 0
 		}
 		n.Node, n.listedAt = entry, now
 		n.size = Kind{}
@@ -582,11 +568,6 @@
 				recent = append(recent, o.size)
 			}
 		}
-		for _, o := range g.unmet {
-			if now-o.at < unmetFor {
-				recent = append(recent, o.size)
-			}
-		}
 	}
 	if largest.Cores <= 0 || largest.Memory <= 0 {
 		return func(*node) bool { return false }
@@ -768,20 +749,13 @@
 	return a.mean
 }
 
-// used is the cores in use on a machine heard of lately; a report below what our own workloads there are
-// known to use is not believed.
+// used is the cores in use on a machine heard of lately.
 func (a *Allocator) used(now Millis, n *node) (float64, bool) {
 	r, ok := n.latest(now)
 	if !ok || math.IsNaN(r.used) {
 		return 0, false
 	}
-	noted := 0.0
-	for _, b := range n.ours {
-		if !math.IsNaN(b.used) {
-			noted += b.used
-		}
-	}
-	return max(0, noted, r.used+n.changed(r.at-reportLag).cores*a.useShare()), true
+	return max(0, r.used+n.changed(r.at-reportLag).cores*a.useShare()), true
 }
 
 // usedMemory is the memory in use on a machine heard of lately, or 0.
@@ -817,9 +791,9 @@
 }
 
 // barred returns the machines that symptoms speak against, worst first and never more than a part of the
-// fleet: failed contacts, a bind that is unanswered for too long, slow starts.
+// fleet: failed contacts, or a bind that is unanswered for too long.
 func (a *Allocator) barred(now Millis) []*node {
-	var grades [3][]*node
+	var grades [2][]*node
 	ready := 0
 	for _, n := range a.nodes {
 		if n.State != Ready {
@@ -831,11 +805,9 @@
 			grades[0] = append(grades[0], n)
 		case slices.ContainsFunc(n.ours, func(b *bind) bool { return a.overdue(now, b) }):
 			grades[1] = append(grades[1], n)
-		case n.slow(now) > slowTimes:
-			grades[2] = append(grades[2], n)
 		}
 	}
-	all := slices.Concat(grades[0], grades[1], grades[2])
+	all := slices.Concat(grades[0], grades[1])
 	return all[:min(len(all), ready/barMost)]
 }
 
@@ -929,20 +901,6 @@
 	}
 }
 
-// slow is how many times longer than expected starts have lately taken on n, 1 at the least.
-func (n *node) slow(now Millis) float64 {
-	var recent []float64
-	for _, s := range n.slowness {
-		if now-s.at < slowFor {
-			recent = append(recent, s.value)
-		}
-	}
-	if len(recent) < 2 {
-		return 1
-	}
-	return max(1, median(recent))
-}
-
 func index(b bool) int {
 	if b {
 		return 1
