Renew the watch within what the list counts as known; read use where reports count asks

Found while reading the settings again: the time within which an allocator must ask was not used, and a deployment whose reports count asks and tell no busy share would have had no load.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -139,6 +139,7 @@
 	coldShare    float64 // offers within coldWindow that are ours to send to a cold machine
 	coldWindow   Millis
 	mustAsk      bool
+	watchQuiet   Millis
 	byRunning    bool
 	reportsUse   bool
 	roomInList   bool
@@ -164,7 +165,8 @@
 	a := &Allocator{
 		kinds: s.Kinds, zone: s.Zone, zonePriced: s.ZonePrice > 0,
 		coldFor: s.ColdFor, coldFrom: s.ColdFrom, coldShare: math.Floor(s.ColdBears / float64(n)),
-		coldWindow: s.OverloadFor * budgetSpare, mustAsk: s.MustAsk, byRunning: s.ConfirmsRunning,
+		coldWindow: s.OverloadFor * budgetSpare, mustAsk: s.MustAsk,
+		watchQuiet: min(watchQuiet, s.AskWithin/2), byRunning: s.ConfirmsRunning,
 		reportsUse: s.ReportsUse, roomInList: s.RoomInList, allocators: float64(n), maxBinds: s.MaxBinds,
 		mayProbe: s.MayProbe, seed: seed, known: map[NodeID]*node{}, placed: map[WorkloadID]*bind{},
 		meanAt: LongAgo, watchAsked: LongAgo, listHeard: LongAgo, listFailedAt: LongAgo,
@@ -175,8 +177,8 @@
 			limit = min(1, g.Calm+capFade*g.Fade)
 		}
 		a.groups = append(a.groups, group{
-			utility: g.Utility, cap: limit, target: g.Target, effect: g.Effect, scope: g.DedupScope, window: g.DedupWindow,
-			spread: g.Spread, spreadMost: g.SpreadMost, kind: g.Kind,
+			utility: g.Utility, cap: limit, target: g.Target, effect: g.Effect, scope: g.DedupScope,
+			window: g.DedupWindow, spread: g.Spread, spreadMost: g.SpreadMost, kind: g.Kind,
 		})
 	}
 	return a
@@ -193,7 +195,7 @@
 	return a.choose(now, wl)
 }
 
-// Adopt takes over a workload that runs already. The list's room and the reports count it, so it is no change.
+// Adopt takes over a workload that runs already. The list's room and the reports count it: no change there.
 func (a *Allocator) Adopt(now Millis, w Workload, id NodeID) Step {
 	g := &group{kind: -1}
 	if int(w.Group) < len(a.groups) {
@@ -360,6 +362,9 @@
 	if math.IsNaN(r.used) {
 		r.used = l.Utilization * n.size.Cores
 	}
+	if math.IsNaN(r.used) {
+		r.used = (n.size.Cores - l.SpareCores) * a.useShare()
+	}
 	n.reports = keep(n.reports, r, keepSamples)
 }
 
@@ -442,7 +447,7 @@
 	})
 	// The watch may have broken unheard, and a failed call does not say whether it stands.
 	if a.mustAsk && now-a.watchAsked > watchRetry &&
-		(a.listFailedAt >= a.watchAsked || now-max(a.listHeard, a.watchAsked) > watchQuiet) {
+		(a.listFailedAt >= a.watchAsked || now-max(a.listHeard, a.watchAsked) > a.watchQuiet) {
 		c.Watch, a.watchAsked = true, now
 	}
 	for _, n := range a.nodes {
@@ -551,8 +556,8 @@
 
 // reserve returns which machines are kept from wl for groups of higher utility: a full fleet that takes all
 // alike turns away what is worth most, above all the large asks that only find room in one piece. Room is
-// kept for what they have lately asked of all allocators, at least for one of their largest; while there is
-// less, the machines with the most room fill up no further.
+// kept for what they have lately asked of us, at least for one of their largest; while there is less, the
+// machines with the most room fill up no further.
 // It should also help when any trouble takes room away. It could hurt where little of high utility follows.
 func (a *Allocator) reserve(now Millis, wl *workload) func(*node) bool {
 	var largest Kind
@@ -611,7 +616,7 @@
 	}
 }
 
-// feasible tells whether wl may go to n: by the rules, by the room seen less our recent binds, and by the cap.
+// feasible tells whether wl may go to n: by the rules, the room seen less our recent binds, and the cap.
 func (a *Allocator) feasible(now Millis, wl *workload, n *node) bool {
 	g := wl.group
 	switch {
@@ -690,7 +695,8 @@
 			sent++
 		}
 	}
-	return float64(sent+1) <= a.coldShare && float64(sent) < max(1, a.coldShare*min(1, a.coldFrom+float64((now-n.Born)/rampFor)))
+	ramp := min(1, a.coldFrom+float64((now-n.Born)/rampFor))
+	return float64(sent+1) <= a.coldShare && float64(sent) < max(1, a.coldShare*ramp)
 }
 
 // pace is the share of its full pace for starts that a machine is sure to have.
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -109,7 +109,8 @@
 }
 
 func TestDeduplicatedIsNotRejectedOnceItMayRun(t *testing.T) {
-	for g, want := range map[GroupID]StepKind{dedupCell: Unschedulable, dedupAll: Rejected, restartable: Rejected} {
+	wants := map[GroupID]StepKind{dedupCell: Unschedulable, dedupAll: Rejected, restartable: Rejected}
+	for g, want := range wants {
 		a := fleet(t, 1)
 		s := a.Place(0, Workload{Group: g, Cores: 1, Memory: 1, Left: 9000})
 		a.List(1, Changes, []Node{entry(1, Draining)})
@@ -164,7 +165,7 @@
 
 func TestWatchIsAskedForAndKeptAlive(t *testing.T) {
 	a := fleet(t, 1)
-	a.mustAsk = true
+	a.mustAsk, a.watchQuiet = true, watchQuiet
 	require.True(t, a.Upkeep(100).Watch)
 	assert.False(t, a.Upkeep(200).Watch)
 	a.List(300, Failed, nil)
@@ -182,7 +183,7 @@
 	n := a.known[1]
 	n.Born = 0
 	sent := func(now Millis) (most int) {
-		for n.sends = nil; a.coldAllows(now, n); most++ {
+		for n.sends = nil; most < 99 && a.coldAllows(now, n); most++ {
 			n.sends = append(n.sends, now)
 		}
 		return most
@@ -294,6 +295,22 @@
 	assert.True(t, a.feasible(fullPause+1, newAsk(a, 0, 2, 1), n))
 }
 
+func TestWatchIsRenewedWithinWhatTheListCountsAsKnown(t *testing.T) {
+	assert.Equal(t, Millis(2000), New(Settings{MustAsk: true, AskWithin: 4000}, 1).watchQuiet)
+	assert.Equal(t, watchQuiet, New(Settings{MustAsk: true, AskWithin: 60e3}, 1).watchQuiet)
+}
+
+func TestUseIsReadByWhatReportsCount(t *testing.T) {
+	a := fleet(t, 1)
+	a.reportsUse = false
+	a.Report(0, 1, Load{SpareCores: 5, SpareMemory: 9, Utilization: 0.4})
+	used, _ := a.used(0, a.known[1])
+	assert.InDelta(t, 4, used, 1e-9, "cores busy")
+	a.Report(0, 1, Load{SpareCores: 5, SpareMemory: 9, Utilization: math.NaN()})
+	used, _ = a.used(0, a.known[1])
+	assert.InDelta(t, 5*useGuess, used, 1e-9, "asks, by the share of them that is used")
+}
+
 func TestOddEventsChangeNothing(t *testing.T) {
 	a := fleet(t, 1)
 	a.Note(0, 77, CoresUsed, 3)
--- a/choice/types.go
+++ b/choice/types.go
@@ -78,8 +78,6 @@
 	AskWithin       Millis // the list counts as known after this, asked for or not
 	ConfirmsRunning bool   // a confirmation means running, not only accepted
 	ReportsUse      bool   // reported room is what is not in use, not what nobody asked for
-	ReportsCores    bool   // reports carry spare cores
-	ReportsMemory   bool   // reports carry spare memory
 	RoomInList      bool   // list entries carry the room that nobody has asked for
 	MaxBinds        int
 	MayProbe        bool
--- a/internal/drill/settings.go
+++ b/internal/drill/settings.go
@@ -165,10 +165,5 @@
 		}
 		s.Groups = append(s.Groups, g)
 	}
-	reports := c.list("report.fields")
-	for _, f := range reports {
-		s.ReportsCores = s.ReportsCores || f == "x0"
-		s.ReportsMemory = s.ReportsMemory || f == "x1"
-	}
-	return s, reports, c.err
+	return s, c.list("report.fields"), c.err
 }
