Space the kept reports so that they span the move window

Cause: 16 reports cover under ten seconds on a machine that answers more than twice a second, so that its hotspot could never be shown and nothing was moved off it.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -365,6 +365,10 @@
 	if math.IsNaN(r.used) {
 		r.used = (n.size.Cores - l.SpareCores) * a.useShare()
 	}
+	// Where answers come thick, the last report gives way to the next, so that those kept span the move window.
+	if last := len(n.reports) - 1; last > 0 && now-n.reports[last-1].at < moveWindow/(keepSamples-2) {
+		n.reports = n.reports[:last]
+	}
 	n.reports = keep(n.reports, r, keepSamples)
 }
 
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -239,6 +239,15 @@
 	assert.Nil(t, a.victim(14e3, n), "no evidence that it is still hot")
 }
 
+func TestReportsSpanTheMoveWindowHoweverThickTheyCome(t *testing.T) {
+	a := fleet(t, 1)
+	for at := Millis(0); at <= 2*moveWindow; at += 50 {
+		heard(a, at, 1, 9)
+	}
+	assert.LessOrEqual(t, a.known[1].reports[0].at, moveWindow)
+	assert.InDelta(t, float64(2*moveWindow), float64(a.known[1].heard()), 0)
+}
+
 func TestReserveKeepsTheRoomiestMachineForLargeDearAsks(t *testing.T) {
 	a := fleet(t, 2)
 	a.known[1].FreeCores, a.known[2].FreeCores = 6.5, 3
