Keep room for first asks from workloads that come again

Cause: on a full fleet a workload that came again took room from a first ask, whose start in time earns 8 to 12 s of service; the other can no longer earn that. It should help in any trouble that fills the fleet.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -109,8 +109,9 @@
 
 // ask is what a workload asked for, and when.
 type ask struct {
-	at   Millis
-	size Kind
+	at    Millis
+	size  Kind
+	again bool
 }
 
 // group is what decisions need of a priority group.
@@ -190,7 +191,7 @@
 		return Step{Kind: Rejected}
 	}
 	g := &a.groups[w.Group]
-	g.asks = keep(g.asks, ask{now, Kind{w.Cores, w.Memory}}, keepAsks)
+	g.asks = keep(g.asks, ask{now, Kind{w.Cores, w.Memory}, w.Again}, keepAsks)
 	wl := &workload{Workload: w, group: g, due: now + g.target, expires: now + w.Left}
 	return a.choose(now, wl)
 }
@@ -562,16 +563,22 @@
 // alike turns away what is worth most, above all the large asks that only find room in one piece. Room is
 // kept for what they have lately asked of us, at least for one of their largest; while there is less, the
 // machines with the most room fill up no further.
-// It should also help when any trouble takes room away. It could hurt where little of high utility follows.
+// Within a group those that come again give way to first asks: a first start in time earns most of a short
+// workload's utility, and one that comes again has lost or had it.
+// It should also help when any trouble takes room away. It could hurt where little of high utility follows,
+// and it makes those that come again wait longer on a fleet that stays full.
 func (a *Allocator) reserve(now Millis, wl *workload) func(*node) bool {
 	var largest Kind
 	var recent []Kind
 	for i := range a.groups {
 		g := &a.groups[i]
-		if g.utility <= wl.group.utility {
+		if g.utility < wl.group.utility || g.utility == wl.group.utility && !wl.Again {
 			continue
 		}
 		for _, o := range g.asks {
+			if g.utility == wl.group.utility && (o.again || now-o.at >= reserveFor) {
+				continue
+			}
 			largest.Cores, largest.Memory = max(largest.Cores, o.size.Cores), max(largest.Memory, o.size.Memory)
 			if now-o.at < reserveFor {
 				recent = append(recent, o.size)
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -251,7 +251,7 @@
 func TestReserveKeepsTheRoomiestMachineForLargeDearAsks(t *testing.T) {
 	a := fleet(t, 2)
 	a.known[1].FreeCores, a.known[2].FreeCores = 6.5, 3
-	a.groups[runOnce].asks = []ask{{0, Kind{6, 6}}}
+	a.groups[runOnce].asks = []ask{{size: Kind{6, 6}}}
 	kept := a.reserve(60e3, newAsk(a, 0, 1, 1))
 	assert.True(t, kept(a.known[1]))
 	assert.False(t, kept(a.known[2]))
@@ -260,6 +260,17 @@
 	assert.True(t, a.reserve(60e3, newAsk(a, 0, 1, 1))(a.known[1]), "room builds up where most of it is")
 }
 
+func TestReserveKeepsRoomForFirstAsksFromThoseThatComeAgain(t *testing.T) {
+	a := fleet(t, 1)
+	a.known[1].FreeCores = 2.5
+	a.groups[restartable].asks = []ask{{size: Kind{2, 2}}, {size: Kind{2, 2}, again: true}}
+	wl := newAsk(a, restartable, 1, 1)
+	assert.False(t, a.reserve(1, wl)(a.known[1]), "a first ask")
+	wl.Again = true
+	assert.True(t, a.reserve(1, wl)(a.known[1]))
+	assert.False(t, a.reserve(reserveFor, wl)(a.known[1]), "no first ask came lately")
+}
+
 func TestAllocatorsMeetOnAColdStart(t *testing.T) {
 	picks := map[ServiceID]NodeID{}
 	for seed := range uint64(4) {
--- a/choice/types.go
+++ b/choice/types.go
@@ -113,6 +113,7 @@
 	Cores   float64
 	Memory  float64
 	Left    Millis // pending timeout: how long until the owner gives up
+	Again   bool   // it came before, so that its first start in time is lost or behind it
 }
 
 // Load is a machine's report. Values that it lacks are NaN.
--- a/internal/drill/adapter.go
+++ b/internal/drill/adapter.go
@@ -13,6 +13,9 @@
 // upkeepToken is the timer token of chores; workloads' waits count up from the next one.
 const upkeepToken = 0
 
+// cameAgain is the bit of a task that was refused, failed, moved or lost before.
+const cameAgain = 16
+
 // held is one workload that the module has not let go of: its step and how many binds it has had.
 type held struct {
 	step   choice.Step
@@ -184,6 +187,7 @@
 	f.skip(8)
 	w.Service = choice.ServiceID(f.u64())
 	w.Cores, w.Memory = f.f32(), f.f32()
+	w.Again = f.u8()&cameAgain != 0
 	if f.err != nil {
 		return
 	}
