--- a/choice/choice.go
+++ b/choice/choice.go
@@ -39,7 +39,7 @@
 	fullPause    = Millis(1e3)  // ms for which a machine that was out of room is not offered as much again
 	barMost      = 3            // one in so many machines may be barred on symptoms; more is a shared trouble
 	timeoutFloor = Millis(1e3)  // ms; the shortest time-out of a bind: a full admission line takes as long
-	reserveFor   = Millis(1e3)  // ms of asks of higher utility that room is kept for: what a list shows late
+	reserveFor   = Millis(2e3)  // ms of dearer asks that room is kept for: what comes before the list shows it
 	keepAsks     = 64           // asks a group: more than one group's within reserveFor
 	answerMargin = Millis(20)   // ms before the pending timeout by which the final answer is given
 	budgetSpare  = 1.2          // times the cold budget's window that ours lasts: binds bunch up on their way
