--- a/choice/choice.go
+++ b/choice/choice.go
@@ -562,8 +562,7 @@
 // reserve returns which machines are kept from wl for groups of higher utility: a full fleet that takes all
 // alike turns away what is worth most, above all the large asks that only find room in one piece. Room is
 // kept for what they have lately asked of us, at least for one of their largest; while there is less, the
-// machines with the most room fill up no further. A single place is kept on a machine that all allocators
-// agree on: where each kept one of two, they filled both.
+// machines with the most room fill up no further.
 // Within a group those that come again give way to first asks: a first start in time earns most of a short
 // workload's utility, and one that comes again has lost or had it.
 // It should also help when any trouble takes room away. It could hurt where little of high utility follows,
@@ -604,22 +603,15 @@
 		places float64
 	}
 	var by []roomy
+	total := 0.0
 	for _, n := range a.nodes {
 		if n.State == Ready {
-			by = append(by, roomy{n, places(n, a.room(now, n))})
-		}
-	}
-	whole := func(places float64) float64 { return max(0, math.Floor(places)) }
-	slices.SortStableFunc(by, func(x, y roomy) int {
-		if whole(x.places) > 0 || whole(y.places) > 0 {
-			return cmp.Compare(whole(y.places), whole(x.places)) // then by id, as the others see it
+			p := places(n, a.room(now, n))
+			by = append(by, roomy{n, p})
+			total += max(0, math.Floor(p))
 		}
-		return cmp.Compare(y.places, x.places)
-	})
-	total := 0.0
-	for _, r := range by {
-		total += whole(r.places)
 	}
+	slices.SortStableFunc(by, func(x, y roomy) int { return cmp.Compare(y.places, x.places) })
 	return func(n *node) bool {
 		at := slices.IndexFunc(by, func(r roomy) bool { return r.n == n })
 		if at < 0 {
@@ -627,12 +619,9 @@
 		}
 		room := a.room(now, n)
 		after := places(n, Kind{room.Cores - wl.Cores, room.Memory - wl.Memory})
-		lost := whole(by[at].places) - whole(after)
-		switch {
-		case total < wanted:
+		lost := max(0, math.Floor(by[at].places)) - max(0, math.Floor(after))
+		if total < wanted {
 			return float64(at) < wanted
-		case wanted == 1:
-			return at == 0 && lost > 0
 		}
 		return total-lost < wanted
 	}
