--- a/choice/choice.go
+++ b/choice/choice.go
@@ -33,7 +33,7 @@
 	keepStarts   = 32           // samples over the whole fleet: a steady median that still follows the day
 	keepPrograms = 8            // programs that a machine is taken to keep after their last task
 	hangAfter    = Millis(800)  // ms beyond the usual for which an unanswered bind hints at no hang yet
-	slowTimes    = 3            // times the usual before an answer counts as late: longer than noise makes it
+	slowTimes    = 3            // times the usual confirmation that a bind may take before it times out
 	missPause    = Millis(500)  // ms away from a machine after a failed contact; doubles with each further
 	missMost     = 5            // doublings, so that a machine is tried again after 16 s at the latest
 	fullPause    = Millis(1e3)  // ms for which a machine that was out of room is not offered as much again
@@ -48,8 +48,7 @@
 	watchRetry   = Millis(1500) // ms after a failed list call before the next
 	listWait     = Millis(50)   // ms between looks for a first machine, while the list is still empty
 	upkeepEvery  = Millis(250)  // ms between chores: short against every window above
-	firstStart   = Millis(300)  // ms that a warm start is taken to need before any was seen
-	coldTimes    = 6            // times as long that a start without a kept program takes, before any was seen
+	firstStart   = Millis(2e3)  // ms that a confirmation is taken to need before any was seen: a cold start
 	useGuess     = 0.6          // share of the ask that is used, before any note came
 )
 
@@ -101,8 +100,6 @@
 	wl                 *workload
 	node               *node
 	at                 Millis
-	warm               bool
-	expected           Millis // time to start
 	confirmed, running bool
 	used               float64 // cores by the last note; NaN before the first
 }
@@ -126,7 +123,6 @@
 	spread     Scope
 	spreadMost int
 	kind       int
-	starts     [2][]Millis // last times to start, without and with the program at hand
 }
 
 // Allocator places workloads by what it alone has seen.
@@ -254,8 +250,6 @@
 // hold books a bind to its machine.
 func (a *Allocator) hold(now Millis, wl *workload, n *node) *bind {
 	b := &bind{wl: wl, node: n, at: now, used: math.NaN()}
-	b.warm = n.holds(wl.Service)
-	b.expected = wl.group.usualStart(b.warm) / Millis(a.pace(now, n))
 	n.ours = append(n.ours, b)
 	return b
 }
@@ -327,10 +321,7 @@
 		return
 	}
 	b.running = true
-	took := now - b.at
 	b.node.learn(b.wl.Service)
-	s := &b.wl.group.starts[index(b.warm)]
-	*s = keep(*s, took, keepStarts)
 }
 
 // Note takes what is told of a placed workload.
@@ -710,14 +701,6 @@
 	return float64(sent+1) <= a.coldShare && float64(sent) < max(1, a.coldShare*ramp)
 }
 
-// pace is the share of its full pace for starts that a machine is sure to have.
-func (a *Allocator) pace(now Millis, n *node) float64 {
-	if !a.cold(now, n) {
-		return 1
-	}
-	return a.coldFrom + (1-a.coldFrom)*max(0, float64((now-n.Born)/a.coldFor))
-}
-
 // room is what nobody has asked for on n. The list shows it late, so what our own workloads have begun and
 // ceased to ask for since then is added; they alone can never leave more than the machine's size.
 func (a *Allocator) room(now Millis, n *node) Kind {
@@ -796,17 +779,6 @@
 	return sum / float64(len(a.useShares))
 }
 
-// usualStart is how long starts with or without the program at hand have lately taken.
-func (g *group) usualStart(warm bool) Millis {
-	if s := g.starts[index(warm)]; len(s) > 2 {
-		return median(s)
-	}
-	if !warm {
-		return coldTimes * g.usualStart(true)
-	}
-	return firstStart
-}
-
 // barred returns the machines that symptoms speak against, worst first and never more than a part of the
 // fleet: failed contacts, or a bind that is unanswered for too long.
 func (a *Allocator) barred(now Millis) []*node {
@@ -828,16 +800,13 @@
 	return all[:min(len(all), ready/barMost)]
 }
 
-// overdue tells whether a bind has been unanswered for longer than its machine should need.
+// overdue tells whether a bind has been unanswered for longer than any confirmation lately took.
 func (a *Allocator) overdue(now Millis, b *bind) bool {
-	if b.confirmed {
-		return false
+	usual := firstStart
+	if len(a.confirms) > 0 {
+		usual = slices.Max(a.confirms)
 	}
-	usual := median(a.confirms)
-	if a.byRunning {
-		usual = b.expected
-	}
-	return now-b.at > hangAfter+slowTimes*usual
+	return !b.confirmed && now-b.at > hangAfter+usual
 }
 
 // chance draws a number from 0 to n-1.
@@ -918,13 +887,6 @@
 	}
 }
 
-func index(b bool) int {
-	if b {
-		return 1
-	}
-	return 0
-}
-
 // keep appends v and drops the oldest values past most.
 func keep[T any](s []T, v T, most int) []T {
 	if len(s) >= most {
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -303,7 +303,7 @@
 	a := fleet(t, 3)
 	a.hold(0, newAsk(a, 0, 1, 1), a.known[2])
 	assert.Empty(t, a.barred(100))
-	assert.Equal(t, []*node{a.known[2]}, a.barred(hangAfter+slowTimes*firstStart*coldTimes+100))
+	assert.Equal(t, []*node{a.known[2]}, a.barred(hangAfter+firstStart+1))
 }
 
 func TestTurnedDownAskIsNotOfferedAgainForAWhile(t *testing.T) {
