--- a/choice/choice.go
+++ b/choice/choice.go
@@ -29,6 +29,7 @@
 	reportLag    = Millis(700)  // ms that a report is behind: its refresh and its way here
 	staleAfter   = Millis(5e3)  // ms after which a machine counts as unheard: several ends are due by then
 	probeAfter   = Millis(1500) // ms without a report after which a machine is probed, where that is allowed
+	probesPerAsk = 1.0          // probes that an ask of ours pays for: their price stays a fraction of a point
 	keepSamples  = 16           // samples of a kind a machine: enough for a median and for the move window
 	keepStarts   = 32           // samples over the whole fleet: a steady median that still follows the day
 	keepPrograms = 8            // programs that a machine is taken to keep after their last task
@@ -77,6 +78,7 @@
 	programs   []ServiceID
 	misses     int // failed contacts in a row
 	missedAt   Millis
+	probedAt   Millis
 	listedAt   Millis
 	declinedAt Millis
 	declined   Kind // the smallest ask that was turned down then
@@ -143,6 +145,7 @@
 	allocators   float64
 	maxBinds     int
 	mayProbe     bool
+	probes       float64 // that our asks have paid for and that are not sent yet
 	seed, draws  uint64
 	nodes        []*node // by id
 	known        map[NodeID]*node
@@ -187,6 +190,7 @@
 		return Step{Kind: Rejected}
 	}
 	g := &a.groups[w.Group]
+	a.probes = min(a.probes+probesPerAsk, float64(len(a.nodes)))
 	g.asks = keep(g.asks, ask{now, Kind{w.Cores, w.Memory}, w.Again}, keepAsks)
 	wl := &workload{Workload: w, group: g, due: now + g.target, expires: now + w.Left}
 	return a.choose(now, wl)
@@ -408,7 +412,7 @@
 	n := a.known[id]
 	if n == nil {
 		n = &node{Node: Node{ID: id, State: Gone, Born: LongAgo}}
-		n.missedAt, n.declinedAt, n.movedAt = LongAgo, LongAgo, LongAgo
+		n.missedAt, n.probedAt, n.declinedAt, n.movedAt = LongAgo, LongAgo, LongAgo, LongAgo
 		a.known[id] = n
 	}
 	if i, found := slices.BinarySearchFunc(a.nodes, id, byID); !found {
@@ -446,11 +450,8 @@
 		(a.listFailedAt >= a.watchAsked || now-max(a.listHeard, a.watchAsked) > a.watchQuiet) {
 		c.Watch, a.watchAsked = true, now
 	}
+	c.Probes = a.probe(now)
 	for _, n := range a.nodes {
-		if n.State == Ready && a.mayProbe && now-max(n.heard(), n.missedAt) > probeAfter {
-			n.missedAt = max(n.missedAt, n.missedAt)
-			c.Probes = append(c.Probes, n.ID)
-		}
 		if b := a.victim(now, n); b != nil {
 			n.movedAt = now
 			c.Moves = append(c.Moves, b.wl.ID)
@@ -459,6 +460,32 @@
 	return c
 }
 
+// probe returns the machines to probe: those unheard for longest, as far as our own asks have paid for it.
+// Where allocators outnumber our share of the asks, probing all that is unheard would fill the machines' lines
+// with probes alone. It also keeps a fleet that stands still from being probed on. It could hurt an allocator
+// with few asks, which then knows most machines by the list alone; they take the mean load.
+func (a *Allocator) probe(now Millis) (ids []NodeID) {
+	if !a.mayProbe {
+		return nil
+	}
+	var due []*node
+	last := func(n *node) Millis { return max(n.heard(), n.missedAt, n.probedAt) }
+	for _, n := range a.nodes {
+		if n.State == Ready && now-last(n) > probeAfter {
+			due = append(due, n)
+		}
+	}
+	slices.SortFunc(due, func(x, y *node) int {
+		return cmp.Or(cmp.Compare(last(x), last(y)), cmp.Compare(hash(a.seed, uint64(x.ID)), hash(a.seed, uint64(y.ID))))
+	})
+	for _, n := range due[:min(len(due), int(a.probes))] {
+		n.probedAt = now
+		ids = append(ids, n.ID)
+	}
+	a.probes -= float64(len(ids))
+	return ids
+}
+
 // victim returns the workload to move off a machine that has been above the cap for the whole window and
 // still is by a fresh report: ours that is furthest over its ask, if another machine can take it.
 func (a *Allocator) victim(now Millis, n *node) *bind {
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -355,3 +355,14 @@
 	}
 	assert.Equal(t, run(), run())
 }
+
+func TestProbesArePaidForByOwnAsks(t *testing.T) {
+	a := fleet(t, 3)
+	a.mayProbe = true
+	assert.Empty(t, a.probe(0), "no asks, no probes")
+	a.probes = 2
+	first := a.probe(0)
+	assert.Len(t, first, 2)
+	a.probes = 2
+	assert.NotContains(t, first, a.probe(1)[0], "unanswered ones are not asked again at once")
+}
