--- a/choice/choice.go
+++ b/choice/choice.go
@@ -38,6 +38,9 @@
 	missPause    = Millis(500)  // ms away from a machine after a failed contact; doubles with each further
 	missMost     = 5            // doublings, so that a machine is tried again after 16 s at the latest
 	fullPause    = Millis(1e3)  // ms for which a machine that was out of room is not offered as much again
+	groupPause   = Millis(4e3)  // ms for which a group turned down without a reason stays away; doubles too
+	groupMost    = 2            // doublings of it, so that the group tries again after 16 s at the latest
+	keepDeclines = 8            // refusals a machine: one a group, and some for want of room
 	barMost      = 3            // one in so many machines may be barred on symptoms; more is a shared trouble
 	timeoutFloor = Millis(1e3)  // ms; the shortest time-out of a bind: a full admission line takes as long
 	reserveFor   = Millis(2e3)  // ms of dearer asks that room is kept for: what comes before the list shows it
@@ -67,22 +70,29 @@
 	spareMemory  float64
 }
 
+// decline is a refusal.
+type decline struct {
+	at    Millis
+	group *group
+	size  Kind
+	why   Reason
+}
+
 // node is a machine as this allocator sees it.
 type node struct {
 	Node
-	size       Kind
-	ours       []*bind // out or running, oldest first
-	changes    []change
-	reports    []report
-	sends      []Millis // binds of the last cold window
-	programs   []ServiceID
-	misses     int // failed contacts in a row
-	missedAt   Millis
-	probedAt   Millis
-	listedAt   Millis
-	declinedAt Millis
-	declined   Kind // the smallest ask that was turned down then
-	movedAt    Millis
+	size     Kind
+	ours     []*bind // out or running, oldest first
+	changes  []change
+	reports  []report
+	sends    []Millis // binds of the last cold window
+	programs []ServiceID
+	misses   int // failed contacts in a row
+	missedAt Millis
+	probedAt Millis
+	listedAt Millis
+	declines []decline
+	movedAt  Millis
 }
 
 // workload is an ask that is not answered yet, or placed.
@@ -281,6 +291,7 @@
 			b.confirmed = true
 			a.confirms = keep(a.confirms, now-b.at, keepStarts)
 			n.misses = 0
+			n.declines = slices.DeleteFunc(n.declines, func(d decline) bool { return d.group == wl.group })
 			if a.byRunning {
 				a.started(now, b)
 			}
@@ -296,7 +307,8 @@
 			return Step{Kind: Done}
 		case Declined:
 			n.misses = 0
-			n.turnedDown(now, wl, r.Reason)
+			d := decline{now, wl.group, Kind{wl.Cores, wl.Memory}, r.Reason}
+			n.declines = keep(n.declines, d, keepDeclines)
 			wl.declined = append(wl.declined, n)
 		case Unreachable:
 			n.miss(now)
@@ -397,7 +409,7 @@
 	for _, entry := range nodes {
 		n := a.node(entry.ID)
 		if entry.Born != n.Born {
-			n.reports, n.programs, n.sends, n.misses = nil, nil, nil, 0
+			n.reports, n.programs, n.sends, n.declines, n.misses = nil, nil, nil, nil, 0
 		}
 		n.Node, n.listedAt = entry, now
 		n.size = Kind{}
@@ -412,7 +424,7 @@
 	n := a.known[id]
 	if n == nil {
 		n = &node{Node: Node{ID: id, State: Gone, Born: LongAgo}}
-		n.missedAt, n.probedAt, n.declinedAt, n.movedAt = LongAgo, LongAgo, LongAgo, LongAgo
+		n.missedAt, n.probedAt, n.movedAt = LongAgo, LongAgo, LongAgo
 		a.known[id] = n
 	}
 	if i, found := slices.BinarySearchFunc(a.nodes, id, byID); !found {
@@ -476,7 +488,8 @@
 		}
 	}
 	slices.SortFunc(due, func(x, y *node) int {
-		return cmp.Or(cmp.Compare(last(x), last(y)), cmp.Compare(hash(a.seed, uint64(x.ID)), hash(a.seed, uint64(y.ID))))
+		return cmp.Or(cmp.Compare(last(x), last(y)),
+			cmp.Compare(hash(a.seed, uint64(x.ID)), hash(a.seed, uint64(y.ID))))
 	})
 	for _, n := range due[:min(len(due), int(a.probes))] {
 		n.probedAt = now
@@ -653,7 +666,7 @@
 		wl.maybe != nil && !repeatable(now, wl, n), !a.spreadAllows(wl, n), !a.coldAllows(now, n):
 		return false
 	}
-	if now-n.declinedAt < fullPause && wl.Cores >= n.declined.Cores && wl.Memory >= n.declined.Memory {
+	if n.declinesNow(now, wl) {
 		return false
 	}
 	room := a.room(now, n)
@@ -902,16 +915,24 @@
 
 func (n *node) miss(now Millis) { n.misses, n.missedAt = n.misses+1, now }
 
-// turnedDown keeps asks that are no smaller away for a while; a machine that is not short of room but of
-// places to wait, or that takes nothing, gets none.
-func (n *node) turnedDown(now Millis, wl *workload, why Reason) {
-	n.declinedAt, n.declined = now, Kind{}
-	switch why {
-	case NoCores:
-		n.declined.Cores = wl.Cores
-	case NoMemory:
-		n.declined.Memory = wl.Memory
+// declinesNow tells whether refusals speak against offering wl to n. For want of room or of places to wait they
+// do so for a short while, for asks no smaller or for all. A machine that names neither has room and turns away
+// one group: that group stays away, longer with each further refusal, and the others keep using it. It should
+// also cover machines that take a group only now and then. It could hurt where a machine comes round early.
+func (n *node) declinesNow(now Millis, wl *workload) bool {
+	unexplained, last := 0, LongAgo
+	for _, d := range n.declines {
+		recent := now-d.at < fullPause
+		switch {
+		case d.why == NoCores && recent && wl.Cores >= d.size.Cores,
+			d.why == NoMemory && recent && wl.Memory >= d.size.Memory,
+			d.why == TooManyWaiting && recent:
+			return true
+		case d.why != NoCores && d.why != NoMemory && d.why != TooManyWaiting && d.group == wl.group:
+			unexplained, last = unexplained+1, d.at
+		}
 	}
+	return unexplained > 0 && now-last < groupPause*Millis(int(1)<<min(unexplained-1, groupMost))
 }
 
 // keep appends v and drops the oldest values past most.
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -309,10 +309,21 @@
 func TestTurnedDownAskIsNotOfferedAgainForAWhile(t *testing.T) {
 	a := fleet(t, 1)
 	n := a.known[1]
-	n.turnedDown(0, newAsk(a, 0, 2, 2), NoCores)
-	assert.False(t, a.feasible(1, newAsk(a, 0, 2, 1), n))
-	assert.True(t, a.feasible(1, newAsk(a, 0, 1, 1), n))
-	assert.True(t, a.feasible(fullPause+1, newAsk(a, 0, 2, 1), n))
+	n.declines = []decline{{at: 0, size: Kind{2, 2}, why: NoCores}}
+	assert.True(t, n.declinesNow(1, newAsk(a, 0, 2, 1)))
+	assert.False(t, n.declinesNow(1, newAsk(a, 0, 1, 1)))
+	assert.False(t, n.declinesNow(fullPause+1, newAsk(a, 0, 2, 1)))
+}
+
+func TestGroupTurnedDownWithoutReasonStaysAwayAlone(t *testing.T) {
+	a := fleet(t, 1)
+	n := a.known[1]
+	n.declines = []decline{{at: 0, group: &a.groups[runOnce], why: NoReason}}
+	assert.True(t, n.declinesNow(groupPause-1, newAsk(a, runOnce, 1, 1)))
+	assert.False(t, n.declinesNow(1, newAsk(a, restartable, 1, 1)), "others go on")
+	assert.False(t, n.declinesNow(groupPause, newAsk(a, runOnce, 1, 1)), "it is tried again")
+	n.declines = append(n.declines, decline{at: groupPause, group: &a.groups[runOnce]})
+	assert.True(t, n.declinesNow(2*groupPause, newAsk(a, runOnce, 1, 1)), "later with each refusal")
 }
 
 func TestWatchIsRenewedWithinWhatTheListCountsAsKnown(t *testing.T) {
