--- a/choice/choice.go
+++ b/choice/choice.go
@@ -145,7 +145,10 @@
 	zonePriced   bool
 	coldFor      Millis
 	coldFrom     float64
-	coldShare    float64 // offers within coldWindow that are ours to send to a cold machine
+	coldShare    float64 // offers within coldWindow that are ours to send to a cold machine; under 1 by turns
+	coldTurn     float64 // allocators that may send it one in each turn
+	ordinal      float64
+	since        Millis // our first call: what we sent before a restart is forgotten
 	coldWindow   Millis
 	mustAsk      bool
 	watchQuiet   Millis
@@ -171,10 +174,11 @@
 
 // New makes an allocator that knows its settings and nothing else.
 func New(s Settings, seed uint64) *Allocator {
-	n := max(1, s.Allocators)
+	n := max(1, s.Allocators, s.Ordinal+1)
 	a := &Allocator{
 		kinds: s.Kinds, zone: s.Zone, zonePriced: s.ZonePrice > 0,
 		coldFor: s.ColdFor, coldFrom: s.ColdFrom, coldShare: math.Floor(s.ColdBears / float64(n)),
+		coldTurn: math.Floor(s.ColdBears / 2), ordinal: float64(s.Ordinal), since: Millis(math.Inf(1)),
 		coldWindow: s.OverloadFor * budgetSpare, mustAsk: s.MustAsk,
 		watchQuiet: min(watchQuiet, s.AskWithin/2), byRunning: s.ConfirmsRunning,
 		reportsUse: s.ReportsUse, roomInList: s.RoomInList, allocators: float64(n), maxBinds: s.MaxBinds,
@@ -445,6 +449,7 @@
 
 // Upkeep returns what is to be done beside the steps of workloads.
 func (a *Allocator) Upkeep(now Millis) Chores {
+	a.since = min(a.since, now)
 	c := Chores{Again: now + upkeepEvery}
 	for _, n := range a.nodes {
 		n.changes = slices.DeleteFunc(n.changes, func(c change) bool { return c.at < now-staleAfter-reportLag })
@@ -473,7 +478,7 @@
 }
 
 // probe returns the machines to probe: those unheard for longest, as far as our own asks have paid for it.
-// Where allocators outnumber our share of the asks, probing all that is unheard would fill the machines' lines
+// Where each allocator has few of the asks, probing all that is unheard would fill the machines' lines
 // with probes alone. It also keeps a fleet that stands still from being probed on. It could hurt an allocator
 // with few asks, which then knows most machines by the list alone; they take the mean load.
 func (a *Allocator) probe(now Millis) (ids []NodeID) {
@@ -726,19 +731,33 @@
 
 func (a *Allocator) cold(now Millis, n *node) bool { return now-n.Born < a.coldFor }
 
-// coldAllows keeps our binds to a machine just up within our share of what it bears, and ramps them up.
+// coldAllows keeps our binds to a machine just up within our share of what it bears, and ramps them up. Where
+// allocators outnumber what it bears, each has a turn of one bind, which all work out alike from the machine,
+// its start and their numbers. A window touches two turns at the most, also with binds under way, so that each
+// turn has half of what is borne. After a start of our own we wait for a window or a whole turn: what we sent
+// before a restart is forgotten. It should hold for any number of allocators; it leaves cold machines idle
+// where those whose turn it is have no asks.
 func (a *Allocator) coldAllows(now Millis, n *node) bool {
 	if !a.cold(now, n) {
 		return true
 	}
+	ramp := min(1, a.coldFrom+float64((now-n.Born)/rampFor))
+	from := now - a.coldWindow
+	if a.coldShare < 1 {
+		turn := math.Floor(float64((now - n.Born) / a.coldWindow))
+		from = n.Born + Millis(turn)*a.coldWindow
+		first := float64(hash(uint64(n.ID), 0)%(1<<20)) + turn*a.coldTurn
+		place := math.Mod(first+a.ordinal, a.allocators)
+		return a.since <= from && !slices.ContainsFunc(n.sends, func(at Millis) bool { return at >= from }) &&
+			place < math.Floor(a.coldTurn*ramp)
+	}
 	sent := 0
 	for _, at := range n.sends {
-		if now-at <= a.coldWindow {
+		if at >= from {
 			sent++
 		}
 	}
-	ramp := min(1, a.coldFrom+float64((now-n.Born)/rampFor))
-	return float64(sent+1) <= a.coldShare && float64(sent) < max(1, a.coldShare*ramp)
+	return a.since < from && float64(sent+1) <= a.coldShare && float64(sent) < max(1, a.coldShare*ramp)
 }
 
 // room is what nobody has asked for on n. The list shows it late, so what our own workloads have begun and
@@ -915,8 +934,8 @@
 
 func (n *node) miss(now Millis) { n.misses, n.missedAt = n.misses+1, now }
 
-// declinesNow tells whether refusals speak against offering wl to n. For want of room or of places to wait they
-// do so for a short while, for asks no smaller or for all. A machine that names neither has room and turns away
+// declinesNow tells whether refusals speak against offering wl to n. For want of room or places to wait they
+// do so for a short while, for asks no smaller or for all. One that names neither has room and turns away
 // one group: that group stays away, longer with each further refusal, and the others keep using it. It should
 // also cover machines that take a group only now and then. It could hurt where a machine comes round early.
 func (n *node) declinesNow(now Millis, wl *workload) bool {
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"testing"
 
 	"github.com/stretchr/testify/assert"
@@ -181,7 +182,7 @@
 	a := fleet(t, 1)
 	a.coldFor, a.coldFrom, a.coldShare, a.coldWindow = 10e3, 0.25, 8, 3000
 	n := a.known[1]
-	n.Born = 0
+	n.Born, a.since = 0, -5000
 	sent := func(now Millis) (most int) {
 		for n.sends = nil; most < 99 && a.coldAllows(now, n); most++ {
 			n.sends = append(n.sends, now)
@@ -191,8 +192,32 @@
 	assert.Equal(t, 2, sent(0))
 	assert.Equal(t, 6, sent(rampFor/2))
 	assert.Equal(t, 8, sent(rampFor))
-	a.coldShare = 0
-	assert.False(t, a.coldAllows(9999, n), "where a share is none at all")
+	a.since = 9999
+	n.sends = nil
+	assert.False(t, a.coldAllows(9999, n), "what was sent before a restart is forgotten")
+}
+
+// Rule 4 where allocators outnumber what a cold machine bears: no window holds more than it bears.
+func TestColdMachineIsSharedByTurns(t *testing.T) {
+	const bears, window = 10, Millis(2000)
+	var sends []Millis
+	for ordinal := range 77 {
+		s := Settings{Allocators: 77, Ordinal: ordinal, ColdBears: bears, ColdFor: 20e3, OverloadFor: window}
+		a := New(s, 1)
+		a.since = -1
+		n := &node{Node: Node{ID: 5, Born: 0}}
+		for now := Millis(0); now < 20e3; now += 10 {
+			if a.coldAllows(now, n) {
+				n.sends = append(n.sends, now)
+				sends = append(sends, now)
+			}
+		}
+	}
+	slices.Sort(sends)
+	assert.GreaterOrEqual(t, len(sends), 30, "nor does it stay idle")
+	for i, at := range sends[bears:] {
+		assert.Greater(t, at-sends[i], window)
+	}
 }
 
 func TestColdShareIsSplitByAllocators(t *testing.T) {
--- a/choice/types.go
+++ b/choice/types.go
@@ -67,6 +67,7 @@
 // Settings are what an allocator is told when it starts.
 type Settings struct {
 	Allocators      int
+	Ordinal         int // this allocator's number among them, from 0
 	Zone            ZoneID
 	Groups          []Group
 	Kinds           []Kind
--- a/internal/drill/drill_test.go
+++ b/internal/drill/drill_test.go
@@ -10,6 +10,7 @@
 )
 
 const settings = `balancers=1
+ordinal=0
 zone=0
 contract.cold_ns=17000000000
 contract.cold_from=0.28
--- a/internal/drill/settings.go
+++ b/internal/drill/settings.go
@@ -121,6 +121,7 @@
 	c := newConfig(text)
 	s := choice.Settings{
 		Allocators:      int(c.number("balancers")),
+		Ordinal:         int(c.number("ordinal")),
 		Zone:            choice.ZoneID(c.number("zone")),
 		ColdFor:         c.millis("contract.cold_ns"),
 		ColdFrom:        c.number("contract.cold_from"),
