--- a/choice/choice.go
+++ b/choice/choice.go
@@ -632,6 +632,9 @@
 	slices.SortFunc(ties, func(x, y option) int {
 		return cmp.Compare(rank(wl.Service, y.n.ID), rank(wl.Service, x.n.ID))
 	})
+	if len(ties) > 1 && ties[0].load > ties[1].load+0.2 {
+		ties[0], ties[1] = ties[1], ties[0]
+	}
 	return nodesOf(ties)
 }
 
