--- a/choice/choice.go
+++ b/choice/choice.go
@@ -29,9 +29,7 @@
 	reportLag    = Millis(700)  // ms that a report is behind: its refresh and its way here
 	staleAfter   = Millis(5e3)  // ms after which a machine counts as unheard: several ends are due by then
 	probeAfter   = Millis(1500) // ms without a report after which a machine is probed, where that is allowed
-	probeBest    = 2            // machines probed before a bind: the best and the next
-	probeWait    = Millis(40)   // ms that a bind waits for them: an answer over a line of one or two offers
-	probesPerAsk = 2.0          // probes that an ask of ours pays for: their price stays a fraction of a point
+	probesPerAsk = 1.0          // probes that an ask of ours pays for: their price stays a fraction of a point
 	keepSamples  = 16           // samples of a kind a machine: enough for a median and for the move window
 	keepStarts   = 32           // samples over the whole fleet: a steady median that still follows the day
 	keepPrograms = 8            // programs that a machine is taken to keep after their last task
@@ -106,7 +104,6 @@
 	binds    int
 	maybe    *bind // first bind that may have run
 	declined []*node
-	probed   bool
 	over     bool
 }
 
@@ -230,21 +227,21 @@
 // choose offers wl to the best machine, or gives it up at once.
 func (a *Allocator) choose(now Millis, wl *workload) Step {
 	if len(a.nodes) == 0 && now+listWait < wl.due {
-		return Step{Kind: Wait, Until: now + listWait, Next: a.again(wl)}
+		return Step{Kind: Wait, Until: now + listWait, Next: func(now Millis, r Result) Step {
+			if r.Kind == Withdrawn {
+				return Step{Kind: Done}
+			}
+			return a.choose(now, wl)
+		}}
 	}
 	left := wl.expires - now - answerMargin
 	if wl.binds >= a.maxBinds || left <= 0 {
 		return giveUp(wl)
 	}
-	best := a.pick(now, wl)
-	if len(best) == 0 {
+	n := a.pick(now, wl)
+	if n == nil {
 		return giveUp(wl)
 	}
-	if unheard := a.unheard(now, wl, best); len(unheard) > 0 {
-		wl.probed = true
-		return Step{Kind: Wait, Until: now + probeWait, Probes: unheard, Next: a.again(wl)}
-	}
-	n := best[0]
 	timeout := left
 	if wl.group.effect != RunOnce && wl.binds+1 < a.maxBinds {
 		timeout = min(timeout, max(timeoutFloor, left/2, slowTimes*median(a.confirms)))
@@ -258,31 +255,6 @@
 	return Step{Kind: Bind, Node: n.ID, Timeout: timeout, Next: a.after(b)}
 }
 
-// again continues a workload after a wait.
-func (a *Allocator) again(wl *workload) func(Millis, Result) Step {
-	return func(now Millis, r Result) Step {
-		if r.Kind == Withdrawn {
-			return Step{Kind: Done}
-		}
-		return a.choose(now, wl)
-	}
-}
-
-// unheard returns the best few machines if the best is unheard and our asks have paid for probes.
-func (a *Allocator) unheard(now Millis, wl *workload, best []*node) (ids []NodeID) {
-	if !a.mayProbe || wl.probed || now+2*probeWait >= wl.due {
-		return nil
-	}
-	for _, n := range best[:min(len(best), probeBest, int(a.probes))] {
-		if now-max(n.heard(), n.probedAt) > probeAfter {
-			n.probedAt = now
-			ids = append(ids, n.ID)
-			a.probes--
-		}
-	}
-	return ids
-}
-
 // giveUp answers a workload that gets no further bind. Rejecting promises that asking again is harmless,
 // so a workload that may run is rejected only where every machine knows a repeat.
 func giveUp(wl *workload) Step {
@@ -563,24 +535,15 @@
 	return worst
 }
 
-// option is a feasible machine.
-type option struct {
-	n    *node
-	tier int
-	load float64
-}
-
-func nodesOf(options []option) (nodes []*node) {
-	for _, o := range options {
-		nodes = append(nodes, o.n)
-	}
-	return nodes
-}
-
-// pick returns the machines for wl, best first: those that hold the service's program first, then the least
-// loaded, a random one where loads tie.
-func (a *Allocator) pick(now Millis, wl *workload) []*node {
+// pick returns the machine for wl, or nil where none is feasible: those that hold the service's program
+// first, then the least loaded, a random one where loads tie.
+func (a *Allocator) pick(now Millis, wl *workload) *node {
 	barred, kept := a.barred(now), a.reserve(now, wl)
+	type option struct {
+		n    *node
+		tier int
+		load float64
+	}
 	var options []option
 	best := math.MaxInt
 	for _, n := range a.nodes {
@@ -623,19 +586,13 @@
 		return nil
 	}
 	if !meet {
-		i := a.chance(len(ties))
-		ties[0], ties[i] = ties[i], ties[0]
-		return nodesOf(ties)
+		return ties[a.chance(len(ties))].n
 	}
 	// No machine is known to hold the program. Allocators that cannot talk to each other would start it in as
 	// many places as there are allocators; a rank that all work out alike lets the later ones find it there.
-	slices.SortFunc(ties, func(x, y option) int {
-		return cmp.Compare(rank(wl.Service, y.n.ID), rank(wl.Service, x.n.ID))
-	})
-	if len(ties) > 1 && ties[0].load > ties[1].load+0.2 {
-		ties[0], ties[1] = ties[1], ties[0]
-	}
-	return nodesOf(ties)
+	return slices.MaxFunc(ties, func(x, y option) int {
+		return cmp.Compare(rank(wl.Service, x.n.ID), rank(wl.Service, y.n.ID))
+	}).n
 }
 
 // reserve returns which machines are kept from wl for groups of higher utility: a full fleet that takes all
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -27,9 +27,9 @@
 	heard(a, 0, 1, 1)
 	heard(a, 0, 2, 5)
 	wl := newAsk(a, 0, 1, 1)
-	assert.Equal(t, NodeID(1), a.pick(0, wl)[0].ID)
+	assert.Equal(t, NodeID(1), a.pick(0, wl).ID)
 	a.known[2].learn(wl.Service)
-	assert.Equal(t, NodeID(2), a.pick(0, wl)[0].ID)
+	assert.Equal(t, NodeID(2), a.pick(0, wl).ID)
 }
 
 func TestFeasibleKeepsTheCapAndTheRoomOfBothAsks(t *testing.T) {
@@ -304,7 +304,7 @@
 		for s := range ServiceID(20) {
 			wl := newAsk(a, 0, 1, 1)
 			wl.Service = s
-			n := a.pick(0, wl)[0].ID
+			n := a.pick(0, wl).ID
 			if seed > 0 {
 				assert.Equal(t, picks[s], n)
 			}
--- a/choice/types.go
+++ b/choice/types.go
@@ -167,7 +167,7 @@
 
 const (
 	Bind          StepKind = iota // offer it to Node, for Timeout at most
-	Wait                          // probe Probes at once; hand back Due once Until has come
+	Wait                          // hand back Due once Until has come
 	Resident                      // placed; nothing to do until its end
 	Rejected                      // final: asking again does no harm
 	Unschedulable                 // final: no promise
@@ -180,7 +180,6 @@
 	Node    NodeID
 	Timeout Millis
 	Until   Millis
-	Probes  []NodeID
 	Next    func(now Millis, r Result) Step
 }
 
--- a/internal/drill/adapter.go
+++ b/internal/drill/adapter.go
@@ -342,9 +342,6 @@
 		in.token++
 		held.token = in.token
 		in.waits[in.token] = req
-		for _, n := range s.Probes {
-			h.out.record(outTest, id, uint32(n))
-		}
 		h.out.record(outAlarm, id, nanos(max(s.Until, now)), in.token)
 	case choice.Rejected:
 		h.out.record(outPushBack, id, req, uint64(0))
