--- a/choice/choice.go
+++ b/choice/choice.go
@@ -577,17 +577,6 @@
 		band = math.Inf(1)
 	}
 	ties := within(band, false)
-	if meet {
-		most := min(a.allocators, 4)
-		roomy := slices.DeleteFunc(slices.Clone(ties), func(o option) bool {
-			r := a.room(now, o.n)
-			return r.Cores < most*wl.Cores || r.Memory < most*wl.Memory
-		})
-		if len(roomy) > 0 {
-			options = roomy
-			ties = roomy
-		}
-	}
 	if a.zonePriced {
 		if near := within(zoneBand, true); len(near) > 0 {
 			ties = near
