Count a service's program as at hand only where a workload of ours runs

Cause: with many allocators the last eight programs that one of them saw start on a machine are long gone, yet they came before the shared rank.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -32,7 +32,6 @@
 	probesPerAsk = 1.0          // probes that an ask of ours pays for: their price stays a fraction of a point
 	keepSamples  = 16           // samples of a kind a machine: enough for a median and for the move window
 	keepStarts   = 32           // samples over the whole fleet: a steady median that still follows the day
-	keepPrograms = 8            // programs that a machine is taken to keep after their last task
 	hangAfter    = Millis(800)  // ms beyond the usual for which an unanswered bind hints at no hang yet
 	slowTimes    = 3            // times the usual confirmation that a bind may take before it times out
 	missPause    = Millis(500)  // ms away from a machine after a failed contact; doubles with each further
@@ -220,7 +219,6 @@
 	b := a.hold(now, wl, a.node(id))
 	b.confirmed, b.running = true, true
 	a.placed[w.ID] = b
-	b.node.learn(w.Service)
 	return Step{Kind: Resident, Next: a.after(b)}
 }
 
@@ -296,9 +294,7 @@
 			a.confirms = keep(a.confirms, now-b.at, keepStarts)
 			n.misses = 0
 			n.declines = slices.DeleteFunc(n.declines, func(d decline) bool { return d.group == wl.group })
-			if a.byRunning {
-				a.started(now, b)
-			}
+			b.running = b.running || a.byRunning
 			a.placed[wl.ID] = b
 			return Step{Kind: Resident, Next: a.after(b)}
 		case Withdrawn:
@@ -335,15 +331,6 @@
 	}
 }
 
-// started notes that a bind's workload runs.
-func (a *Allocator) started(now Millis, b *bind) {
-	if b.running {
-		return
-	}
-	b.running = true
-	b.node.learn(b.wl.Service)
-}
-
 // Note takes what is told of a placed workload.
 func (a *Allocator) Note(now Millis, id WorkloadID, kind NoteKind, value float64) {
 	b := a.placed[id]
@@ -352,7 +339,7 @@
 	}
 	switch kind {
 	case Running:
-		a.started(now, b)
+		b.running = true
 	case CoresUsed:
 		b.used = value
 		if b.wl.Cores > 0 {
@@ -413,7 +400,7 @@
 	for _, entry := range nodes {
 		n := a.node(entry.ID)
 		if entry.Born != n.Born {
-			n.reports, n.programs, n.sends, n.declines, n.misses = nil, nil, nil, nil, 0
+			n.reports, n.sends, n.declines, n.misses = nil, nil, nil, 0
 		}
 		n.Node, n.listedAt = entry, now
 		n.size = Kind{}
@@ -920,16 +907,9 @@
 	return sum
 }
 
-// holds tells whether the service's program is at hand: a workload of ours runs it, or one did lately.
+// holds tells whether a workload of ours runs the service's program there.
 func (n *node) holds(s ServiceID) bool {
-	return slices.Contains(n.programs, s) ||
-		slices.ContainsFunc(n.ours, func(b *bind) bool { return b.running && b.wl.Service == s })
-}
-
-// learn notes that a service's program came to n last.
-func (n *node) learn(s ServiceID) {
-	n.programs = slices.DeleteFunc(n.programs, func(o ServiceID) bool { return o == s })
-	n.programs = keep(n.programs, s, keepPrograms)
+	return slices.ContainsFunc(n.ours, func(b *bind) bool { return b.running && b.wl.Service == s })
 }
 
 func (n *node) miss(now Millis) { n.misses, n.missedAt = n.misses+1, now }
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -28,7 +28,7 @@
 	heard(a, 0, 2, 5)
 	wl := newAsk(a, 0, 1, 1)
 	assert.Equal(t, NodeID(1), a.pick(0, wl).ID)
-	a.known[2].learn(wl.Service)
+	a.hold(0, wl, a.known[2]).running = true
 	assert.Equal(t, NodeID(2), a.pick(0, wl).ID)
 }
 
