--- a/choice/choice.go
+++ b/choice/choice.go
@@ -578,7 +578,7 @@
 	// No machine is known to hold the program. Allocators that cannot talk to each other would start it in as
 	// many places as there are allocators; a rank that all work out alike lets the later ones find it there.
 	return slices.MaxFunc(ties, func(x, y option) int {
-		return cmp.Compare(rank(wl.Service, x.n), rank(wl.Service, y.n))
+		return cmp.Compare(rank(wl.Service, x.n.ID), rank(wl.Service, y.n.ID))
 	}).n
 }
 
@@ -861,10 +861,9 @@
 	return int(hash(a.seed, a.draws) % uint64(n))
 }
 
-// rank orders machines for a service, alike at every allocator and differently for every service; each machine
-// comes first for as many services as its size is of the fleet's.
-func rank(s ServiceID, n *node) float64 {
-	return math.Log((float64(hash(uint64(n.ID), uint64(s)))+1)/(1<<53)) / n.size.Cores
+// rank orders machines for a service, alike at every allocator and differently for every service.
+func rank(s ServiceID, n NodeID) uint64 {
+	return hash(uint64(n), uint64(s))
 }
 
 func hash(x, y uint64) uint64 {
