Let the shared rank choose over all zones

Cause: where crossing zones has a price, the shared rank chose within the allocator's zone, so that each service was started cold once a zone.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -564,7 +564,7 @@
 		band = math.Inf(1)
 	}
 	ties := within(band, false)
-	if a.zonePriced {
+	if a.zonePriced && !meet {
 		if near := within(zoneBand, true); len(near) > 0 {
 			ties = near
 		}
