--- a/choice/choice.go
+++ b/choice/choice.go
@@ -577,8 +577,11 @@
 	}
 	// No machine is known to hold the program. Allocators that cannot talk to each other would start it in as
 	// many places as there are allocators; a rank that all work out alike lets the later ones find it there.
-	return slices.MaxFunc(ties, func(x, y option) int {
-		return cmp.Compare(rank(wl.Service, x.n.ID), rank(wl.Service, y.n.ID))
+	slices.SortFunc(ties, func(x, y option) int {
+		return cmp.Compare(rank(wl.Service, y.n.ID), rank(wl.Service, x.n.ID))
+	})
+	return slices.MaxFunc(ties[:min(len(ties), 2)], func(x, y option) int {
+		return cmp.Compare(x.n.FreeCores/x.n.size.Cores, y.n.FreeCores/y.n.size.Cores)
 	}).n
 }
 
