--- a/choice/choice.go
+++ b/choice/choice.go
@@ -580,8 +580,9 @@
 	slices.SortFunc(ties, func(x, y option) int {
 		return cmp.Compare(rank(wl.Service, y.n.ID), rank(wl.Service, x.n.ID))
 	})
-	return slices.MaxFunc(ties[:min(len(ties), 2)], func(x, y option) int {
-		return cmp.Compare(x.n.FreeCores/x.n.size.Cores, y.n.FreeCores/y.n.size.Cores)
+	return slices.MaxFunc(ties[:min(len(ties), 3)], func(x, y option) int {
+		return cmp.Compare(min(x.n.FreeCores/wl.Cores, x.n.FreeMemory/wl.Memory),
+			min(y.n.FreeCores/wl.Cores, y.n.FreeMemory/wl.Memory))
 	}).n
 }
 
