Keep a group turned away without a reason off that machine for 15 s, no doubling

Cause: with many allocators each meets a machine seldom, so that 4 s and its doublings taught it little.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -37,8 +37,7 @@
 	missPause    = Millis(500)  // ms away from a machine after a failed contact; doubles with each further
 	missMost     = 5            // doublings, so that a machine is tried again after 16 s at the latest
 	fullPause    = Millis(1e3)  // ms for which a machine that was out of room is not offered as much again
-	groupPause   = Millis(4e3)  // ms for which a group turned down without a reason stays away; doubles too
-	groupMost    = 2            // doublings of it, so that the group tries again after 16 s at the latest
+	groupPause   = Millis(15e3) // ms for which a group turned down without a reason stays away
 	keepDeclines = 8            // refusals a machine: one a group, and some for want of room
 	barMost      = 3            // one in so many machines may be barred on symptoms; more is a shared trouble
 	timeoutFloor = Millis(1e3)  // ms; the shortest time-out of a bind: a full admission line takes as long
@@ -580,7 +579,7 @@
 	slices.SortFunc(ties, func(x, y option) int {
 		return cmp.Compare(rank(wl.Service, y.n.ID), rank(wl.Service, x.n.ID))
 	})
-	return slices.MaxFunc(ties[:min(len(ties), 3)], func(x, y option) int {
+	return slices.MaxFunc(ties[:min(len(ties), 2)], func(x, y option) int {
 		return cmp.Compare(min(x.n.FreeCores/wl.Cores, x.n.FreeMemory/wl.Memory),
 			min(y.n.FreeCores/wl.Cores, y.n.FreeMemory/wl.Memory))
 	}).n
@@ -920,22 +919,20 @@
 
 // declinesNow tells whether refusals speak against offering wl to n. For want of room or places to wait they
 // do so for a short while, for asks no smaller or for all. One that names neither has room and turns away
-// one group: that group stays away, longer with each further refusal, and the others keep using it. It should
+// one group: that group stays away for longer, and the others keep using it. It should
 // also cover machines that take a group only now and then. It could hurt where a machine comes round early.
 func (n *node) declinesNow(now Millis, wl *workload) bool {
-	unexplained, last := 0, LongAgo
-	for _, d := range n.declines {
-		recent := now-d.at < fullPause
-		switch {
-		case d.why == NoCores && recent && wl.Cores >= d.size.Cores,
-			d.why == NoMemory && recent && wl.Memory >= d.size.Memory,
-			d.why == TooManyWaiting && recent:
-			return true
-		case d.why != NoCores && d.why != NoMemory && d.why != TooManyWaiting && d.group == wl.group:
-			unexplained, last = unexplained+1, d.at
-		}
-	}
-	return unexplained > 0 && now-last < groupPause*Millis(int(1)<<min(unexplained-1, groupMost))
+	return slices.ContainsFunc(n.declines, func(d decline) bool {
+		switch d.why {
+		case NoCores:
+			return now-d.at < fullPause && wl.Cores >= d.size.Cores
+		case NoMemory:
+			return now-d.at < fullPause && wl.Memory >= d.size.Memory
+		case TooManyWaiting:
+			return now-d.at < fullPause
+		}
+		return now-d.at < groupPause && d.group == wl.group
+	})
 }
 
 // keep appends v and drops the oldest values past most.
