--- a/choice/choice.go
+++ b/choice/choice.go
@@ -47,7 +47,9 @@
 	budgetSpare  = 1.2          // times the cold budget's window that ours lasts: binds bunch up on their way
 	rampFor      = Millis(5e3)  // ms over which our binds to a machine just up rise to all that it surely bears
 	watchQuiet   = Millis(8e3)  // ms without news after which the watch is asked for again
-	watchRetry   = Millis(1500) // ms after a failed list call before the next
+	watchRetry   = Millis(1500) // ms after a failed list call before the next, on average; doubles with each
+	watchMost    = 3            // doublings, to 12 s: a list that is overrun needs as long for all to be heard
+	watchSpace   = Millis(20)   // ms from one allocator's first call to the next one's, within the quiet time
 	listWait     = Millis(50)   // ms between looks for a first machine, while the list is still empty
 	upkeepEvery  = Millis(250)  // ms between chores: short against every window above
 	firstStart   = Millis(2e3)  // ms that a confirmation is taken to need before any was seen: a cold start
@@ -137,37 +139,36 @@
 
 // Allocator places workloads by what it alone has seen.
 type Allocator struct {
-	groups       []group
-	kinds        []Kind
-	zone         ZoneID
-	zonePriced   bool
-	coldFor      Millis
-	coldFrom     float64
-	coldShare    float64 // offers within coldWindow that are ours to send to a cold machine; under 1 by turns
-	coldTurn     float64 // allocators that may send it one in each turn
-	ordinal      float64
-	since        Millis // our first call: what we sent before a restart is forgotten
-	coldWindow   Millis
-	mustAsk      bool
-	watchQuiet   Millis
-	byRunning    bool
-	reportsUse   bool
-	roomInList   bool
-	allocators   float64
-	maxBinds     int
-	mayProbe     bool
-	probes       float64 // that our asks have paid for and that are not sent yet
-	seed, draws  uint64
-	nodes        []*node // by id
-	known        map[NodeID]*node
-	placed       map[WorkloadID]*bind
-	confirms     []Millis
-	useShares    []float64
-	mean         float64 // load, as of meanAt
-	meanAt       Millis
-	watchAsked   Millis
-	listHeard    Millis
-	listFailedAt Millis
+	groups      []group
+	kinds       []Kind
+	zone        ZoneID
+	zonePriced  bool
+	coldFor     Millis
+	coldFrom    float64
+	coldShare   float64 // offers within coldWindow that are ours to send to a cold machine; under 1 by turns
+	coldTurn    float64 // allocators that may send it one in each turn
+	ordinal     float64
+	since       Millis // our first call: what we sent before a restart is forgotten
+	coldWindow  Millis
+	mustAsk     bool
+	watchQuiet  Millis
+	byRunning   bool
+	reportsUse  bool
+	roomInList  bool
+	allocators  float64
+	maxBinds    int
+	mayProbe    bool
+	probes      float64 // that our asks have paid for and that are not sent yet
+	seed, draws uint64
+	nodes       []*node // by id
+	known       map[NodeID]*node
+	placed      map[WorkloadID]*bind
+	confirms    []Millis
+	useShares   []float64
+	mean        float64 // load, as of meanAt
+	meanAt      Millis
+	watchDue    Millis
+	watchFails  int // in a row
 }
 
 // New makes an allocator that knows its settings and nothing else.
@@ -181,7 +182,7 @@
 		watchQuiet: min(watchQuiet, s.AskWithin/2), byRunning: s.ConfirmsRunning,
 		reportsUse: s.ReportsUse, roomInList: s.RoomInList, allocators: float64(n), maxBinds: s.MaxBinds,
 		mayProbe: s.MayProbe, seed: seed, known: map[NodeID]*node{}, placed: map[WorkloadID]*bind{},
-		meanAt: LongAgo, watchAsked: LongAgo, listHeard: LongAgo, listFailedAt: LongAgo,
+		meanAt: LongAgo,
 	}
 	for _, g := range s.Groups {
 		limit := loadCap
@@ -385,11 +386,12 @@
 // List takes a message of the machine list.
 func (a *Allocator) List(now Millis, kind ListKind, nodes []Node) {
 	if kind == Failed {
-		a.listFailedAt = now
+		a.watchDue = now + a.jitter(watchRetry*Millis(int(1)<<min(a.watchFails, watchMost)))
+		a.watchFails++
 		return
 	}
 	if kind != Cached {
-		a.listHeard = now
+		a.watchDue, a.watchFails = now+a.jitter(a.watchQuiet), 0
 	}
 	if kind != Changes {
 		for _, n := range a.nodes {
@@ -435,7 +437,10 @@
 
 // Upkeep returns what is to be done beside the steps of workloads.
 func (a *Allocator) Upkeep(now Millis) Chores {
-	a.since = min(a.since, now)
+	if now < a.since {
+		a.since = now
+		a.watchDue = now + min(watchSpace*Millis(a.ordinal), a.watchQuiet*Millis(a.ordinal/a.allocators))
+	}
 	c := Chores{Again: now + upkeepEvery}
 	for _, n := range a.nodes {
 		n.changes = slices.DeleteFunc(n.changes, func(c change) bool { return c.at < now-staleAfter-reportLag })
@@ -448,10 +453,12 @@
 		}
 		return gone
 	})
-	// The watch may have broken unheard, and a failed call does not say whether it stands.
-	if a.mustAsk && now-a.watchAsked > watchRetry &&
-		(a.listFailedAt >= a.watchAsked || now-max(a.listHeard, a.watchAsked) > a.watchQuiet) {
-		c.Watch, a.watchAsked = true, now
+	// The watch may have broken unheard, and a failed call does not say whether it stands: news puts off the next.
+	// Calls of many allocators in step overrun the list, and calls again at once keep it so; each spaces its first
+	// call by its number and the next ones by chance, and waits longer after each failure. It should also cover a
+	// list that is slow for any other reason. It could hurt where few allocators wait though the list is idle.
+	if a.mustAsk && now >= a.watchDue {
+		c.Watch, a.watchDue = true, now+a.jitter(a.watchQuiet)
 	}
 	c.Probes = a.probe(now)
 	for _, n := range a.nodes {
@@ -858,6 +865,9 @@
 	return !b.confirmed && now-b.at > hangAfter+usual
 }
 
+// jitter is a quarter more or less than d, by chance.
+func (a *Allocator) jitter(d Millis) Millis { return d * Millis(0.75+float64(a.chance(1000))/2000) }
+
 // chance draws a number from 0 to n-1.
 func (a *Allocator) chance(n int) int {
 	a.draws++
