--- a/choice/choice.go
+++ b/choice/choice.go
@@ -37,7 +37,7 @@
 	missPause    = Millis(500)  // ms away from a machine after a failed contact; doubles with each further
 	missMost     = 5            // doublings, so that a machine is tried again after 16 s at the latest
 	fullPause    = Millis(1e3)  // ms for which a machine that was out of room is not offered as much again
-	longPause    = Millis(15e3) // ms for which a refusal counts that the list does not explain, or has yet to show
+	groupPause   = Millis(15e3) // ms for which a group turned down without a reason stays away
 	keepDeclines = 8            // refusals a machine: one a group, and some for want of room
 	barMost      = 3            // one in so many machines may be barred on symptoms; more is a shared trouble
 	timeoutFloor = Millis(1e3)  // ms; the shortest time-out of a bind: a full admission line takes as long
@@ -928,24 +928,20 @@
 func (n *node) miss(now Millis) { n.misses, n.missedAt = n.misses+1, now }
 
 // declinesNow tells whether refusals speak against offering wl to n. For want of room or places to wait they
-// do so for a short while, for asks no smaller or for all; for want of room until the list's entry is newer, as
-// it may be very late where many ask for it. One that names neither has room and turns away
+// do so for a short while, for asks no smaller or for all. One that names neither has room and turns away
 // one group: that group stays away for longer, and the others keep using it. It should
 // also cover machines that take a group only now and then. It could hurt where a machine comes round early.
 func (n *node) declinesNow(now Millis, wl *workload) bool {
 	return slices.ContainsFunc(n.declines, func(d decline) bool {
-		brief := now-d.at < fullPause
-		held := now-d.at < longPause
-		unseen := brief || held && n.listedAt-listLag < d.at
 		switch d.why {
 		case NoCores:
-			return unseen && wl.Cores >= d.size.Cores
+			return now-d.at < fullPause && wl.Cores >= d.size.Cores
 		case NoMemory:
-			return unseen && wl.Memory >= d.size.Memory
+			return now-d.at < fullPause && wl.Memory >= d.size.Memory
 		case TooManyWaiting:
-			return brief
+			return now-d.at < fullPause
 		}
-		return held && d.group == wl.group
+		return now-d.at < groupPause && d.group == wl.group
 	})
 }
 
