--- a/choice/choice.go
+++ b/choice/choice.go
@@ -141,7 +141,6 @@
 type Allocator struct {
 	groups      []group
 	kinds       []Kind
-	least       Kind // the smallest machine
 	zone        ZoneID
 	zonePriced  bool
 	coldFor     Millis
@@ -185,12 +184,6 @@
 		mayProbe: s.MayProbe, seed: seed, known: map[NodeID]*node{}, placed: map[WorkloadID]*bind{},
 		meanAt: LongAgo,
 	}
-	for i, k := range s.Kinds {
-		if i == 0 {
-			a.least = k
-		}
-		a.least = Kind{min(a.least.Cores, k.Cores), min(a.least.Memory, k.Memory)}
-	}
 	for _, g := range s.Groups {
 		limit := loadCap
 		if g.Calm > 0 {
@@ -554,12 +547,6 @@
 		if !n.holds(wl.Service) {
 			tier++
 		}
-		if a.allocators > 10 {
-			large := wl.Cores*4 > a.least.Cores || wl.Memory*4 > a.least.Memory
-			if spare := hash(uint64(n.ID), 1<<40)%4 == 0; spare != large {
-				tier += 2
-			}
-		}
 		options = append(options, option{n, tier, a.load(now, wl, n)})
 		best = min(best, tier)
 	}
