--- a/choice/choice.go
+++ b/choice/choice.go
@@ -219,9 +219,6 @@
 	a.probes = min(a.probes+probesPerAsk, float64(len(a.nodes)))
 	g.asks = keep(g.asks, ask{now, Kind{w.Cores, w.Memory}, w.Again}, keepAsks)
 	wl := &workload{Workload: w, group: g, due: now + g.target, expires: now + w.Left}
-	if a.woke == now {
-		return Step{Kind: Wait, Until: now, Next: a.again(wl)}
-	}
 	return a.choose(now, wl)
 }
 
@@ -314,9 +311,7 @@
 		switch r.Kind {
 		case Confirmed:
 			b.confirmed = true
-			if a.woke != now {
-				a.confirms = keep(a.confirms, now-b.at, keepStarts)
-			}
+			a.confirms = keep(a.confirms, now-b.at, keepStarts)
 			n.misses = 0
 			n.declines = slices.DeleteFunc(n.declines, func(d decline) bool { return d.group == wl.group })
 			b.running = b.running || a.byRunning
