--- a/choice/choice.go
+++ b/choice/choice.go
@@ -52,7 +52,6 @@
 	watchSpace   = Millis(20)   // ms from one allocator's first call to the next one's, within the quiet time
 	listWait     = Millis(50)   // ms between looks for a first machine, while the list is still empty
 	upkeepEvery  = Millis(250)  // ms between chores: short against every window above
-	standstill   = Millis(750)  // ms between two calls that say that we stood still: three chores left out
 	firstStart   = Millis(2e3)  // ms that a confirmation is taken to need before any was seen: a cold start
 	useGuess     = 0.6          // share of the ask that is used, before any note came
 )
@@ -140,37 +139,36 @@
 
 // Allocator places workloads by what it alone has seen.
 type Allocator struct {
-	groups       []group
-	kinds        []Kind
-	zone         ZoneID
-	zonePriced   bool
-	coldFor      Millis
-	coldFrom     float64
-	coldShare    float64 // offers within coldWindow that are ours to send to a cold machine; under 1 by turns
-	coldTurn     float64 // allocators that may send it one in each turn
-	ordinal      float64
-	since        Millis // our first call: what we sent before a restart is forgotten
-	coldWindow   Millis
-	mustAsk      bool
-	watchQuiet   Millis
-	byRunning    bool
-	reportsUse   bool
-	roomInList   bool
-	allocators   float64
-	maxBinds     int
-	mayProbe     bool
-	probes       float64 // that our asks have paid for and that are not sent yet
-	seed, draws  uint64
-	nodes        []*node // by id
-	known        map[NodeID]*node
-	placed       map[WorkloadID]*bind
-	confirms     []Millis
-	useShares    []float64
-	mean         float64 // load, as of meanAt
-	meanAt       Millis
-	called, woke Millis // last call, and the end of our last standstill
-	watchDue     Millis
-	watchFails   int // in a row
+	groups      []group
+	kinds       []Kind
+	zone        ZoneID
+	zonePriced  bool
+	coldFor     Millis
+	coldFrom    float64
+	coldShare   float64 // offers within coldWindow that are ours to send to a cold machine; under 1 by turns
+	coldTurn    float64 // allocators that may send it one in each turn
+	ordinal     float64
+	since       Millis // our first call: what we sent before a restart is forgotten
+	coldWindow  Millis
+	mustAsk     bool
+	watchQuiet  Millis
+	byRunning   bool
+	reportsUse  bool
+	roomInList  bool
+	allocators  float64
+	maxBinds    int
+	mayProbe    bool
+	probes      float64 // that our asks have paid for and that are not sent yet
+	seed, draws uint64
+	nodes       []*node // by id
+	known       map[NodeID]*node
+	placed      map[WorkloadID]*bind
+	confirms    []Millis
+	useShares   []float64
+	mean        float64 // load, as of meanAt
+	meanAt      Millis
+	watchDue    Millis
+	watchFails  int // in a row
 }
 
 // New makes an allocator that knows its settings and nothing else.
@@ -184,7 +182,7 @@
 		watchQuiet: min(watchQuiet, s.AskWithin/2), byRunning: s.ConfirmsRunning,
 		reportsUse: s.ReportsUse, roomInList: s.RoomInList, allocators: float64(n), maxBinds: s.MaxBinds,
 		mayProbe: s.MayProbe, seed: seed, known: map[NodeID]*node{}, placed: map[WorkloadID]*bind{},
-		meanAt: LongAgo, called: Millis(math.Inf(1)), woke: LongAgo,
+		meanAt: LongAgo,
 	}
 	for _, g := range s.Groups {
 		limit := loadCap
@@ -199,19 +197,8 @@
 	return a
 }
 
-// wake notes a call. After a standstill of ours all that came meanwhile is told at once: asks wait for the next
-// call, so that they count with what came with them, and our own silence is no evidence against machines. The
-// gap between our calls tells it, whatever the cause. It costs a moment where calls are rare for another reason.
-func (a *Allocator) wake(now Millis) {
-	if now-a.called > standstill {
-		a.woke = now
-	}
-	a.called = now
-}
-
 // Place takes a workload and returns its first step.
 func (a *Allocator) Place(now Millis, w Workload) Step {
-	a.wake(now)
 	if int(w.Group) >= len(a.groups) {
 		return Step{Kind: Rejected}
 	}
@@ -238,7 +225,12 @@
 // choose offers wl to the best machine, or gives it up at once.
 func (a *Allocator) choose(now Millis, wl *workload) Step {
 	if len(a.nodes) == 0 && now+listWait < wl.due {
-		return Step{Kind: Wait, Until: now + listWait, Next: a.again(wl)}
+		return Step{Kind: Wait, Until: now + listWait, Next: func(now Millis, r Result) Step {
+			if r.Kind == Withdrawn {
+				return Step{Kind: Done}
+			}
+			return a.choose(now, wl)
+		}}
 	}
 	left := wl.expires - now - answerMargin
 	if wl.binds >= a.maxBinds || left <= 0 {
@@ -261,17 +253,6 @@
 	return Step{Kind: Bind, Node: n.ID, Timeout: timeout, Next: a.after(b)}
 }
 
-// again continues a workload after a wait.
-func (a *Allocator) again(wl *workload) func(Millis, Result) Step {
-	return func(now Millis, r Result) Step {
-		a.wake(now)
-		if r.Kind == Withdrawn {
-			return Step{Kind: Done}
-		}
-		return a.choose(now, wl)
-	}
-}
-
 // giveUp answers a workload that gets no further bind. Rejecting promises that asking again is harmless,
 // so a workload that may run is rejected only where every machine knows a repeat.
 func giveUp(wl *workload) Step {
@@ -303,7 +284,6 @@
 // one that may have run: time-outs, broken answers and kinds that nobody has thought of.
 func (a *Allocator) after(b *bind) func(Millis, Result) Step {
 	return func(now Millis, r Result) Step {
-		a.wake(now)
 		wl, n := b.wl, b.node
 		if r.Load != nil {
 			a.Report(now, n.ID, *r.Load)
@@ -405,7 +385,6 @@
 
 // List takes a message of the machine list.
 func (a *Allocator) List(now Millis, kind ListKind, nodes []Node) {
-	a.wake(now)
 	if kind == Failed {
 		a.watchDue = now + a.jitter(watchRetry*Millis(int(1)<<min(a.watchFails, watchMost)))
 		a.watchFails++
@@ -458,7 +437,6 @@
 
 // Upkeep returns what is to be done beside the steps of workloads.
 func (a *Allocator) Upkeep(now Millis) Chores {
-	a.wake(now)
 	if now < a.since {
 		a.since = now
 		a.watchDue = now + min(watchSpace*Millis(a.ordinal), a.watchQuiet*Millis(a.ordinal/a.allocators))
@@ -878,14 +856,13 @@
 	return all[:min(len(all), ready/barMost)]
 }
 
-// overdue tells whether a bind has been unanswered for longer than any confirmation lately took, not counting
-// what passed before we last woke.
+// overdue tells whether a bind has been unanswered for longer than any confirmation lately took.
 func (a *Allocator) overdue(now Millis, b *bind) bool {
 	usual := firstStart
 	if len(a.confirms) > 0 {
 		usual = slices.Max(a.confirms)
 	}
-	return !b.confirmed && now-max(b.at, a.woke) > hangAfter+usual
+	return !b.confirmed && now-b.at > hangAfter+usual
 }
 
 // jitter is a quarter more or less than d, by chance.
