--- a/choice/choice.go
+++ b/choice/choice.go
@@ -104,6 +104,7 @@
 	binds    int
 	maybe    *bind // first bind that may have run
 	declined []*node
+	lost     *node // the last machine that gave no answer or no connection
 	over     bool
 }
 
@@ -312,11 +313,12 @@
 			wl.declined = append(wl.declined, n)
 		case Unreachable:
 			n.miss(now)
-			wl.declined = append(wl.declined, n)
+			wl.declined, wl.lost = append(wl.declined, n), n
 		case NotSent:
 			wl.binds = a.maxBinds
 		default:
 			n.miss(now)
+			wl.lost = n
 			if wl.maybe == nil {
 				wl.maybe = b
 			}
@@ -547,6 +549,12 @@
 		if !n.holds(wl.Service) {
 			tier++
 		}
+		// A hall or rack that is cut off takes its machines along: after a bind without connection or answer the
+		// next one goes elsewhere if it can. It should also cover a failing switch or cell. It could cost a
+		// crossing, or a cold start, where one machine alone was lost.
+		if wl.lost != nil && (n.Cell == wl.lost.Cell || n.Zone == wl.lost.Zone) {
+			tier += 2
+		}
 		options = append(options, option{n, tier, a.load(now, wl, n)})
 		best = min(best, tier)
 	}
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -418,3 +418,14 @@
 	a.probes = 2
 	assert.NotContains(t, first, a.probe(1)[0], "unanswered ones are not asked again at once")
 }
+
+func TestNextBindAfterALostOneGoesElsewhere(t *testing.T) {
+	a := fleet(t, 3) // each in a cell of its own
+	a.known[2].Cell, a.known[3].Zone = 1, 1
+	a.known[1].Zone, a.known[2].Zone = 2, 2
+	for range 9 {
+		wl := newAsk(a, 0, 1, 1)
+		wl.lost = a.known[1]
+		assert.Equal(t, NodeID(3), a.pick(0, wl).ID)
+	}
+}
