--- a/choice/choice.go
+++ b/choice/choice.go
@@ -539,14 +539,6 @@
 		tier int
 		load float64
 	}
-	doubt := map[ZoneID]int{}
-	for _, n := range a.nodes {
-		if n.misses > 0 && now-n.missedAt < 5000 {
-			doubt[n.Zone]++
-		} else if now-n.heard() < 5000 {
-			doubt[n.Zone] -= 1
-		}
-	}
 	var options []option
 	best := math.MaxInt
 	for _, n := range a.nodes {
@@ -560,7 +552,7 @@
 		// A hall or rack that is cut off takes its machines along: after a bind without connection or answer the
 		// next one goes elsewhere if it can. It should also cover a failing switch or cell. It could cost a
 		// crossing, or a cold start, where one machine alone was lost.
-		if wl.lost != nil && (n.Cell == wl.lost.Cell || n.Zone == wl.lost.Zone) || doubt[n.Zone] > 1 {
+		if wl.lost != nil && (n.Cell == wl.lost.Cell || n.Zone == wl.lost.Zone) {
 			tier += 2
 		}
 		options = append(options, option{n, tier, a.load(now, wl, n)})
