--- a/choice/choice.go
+++ b/choice/choice.go
@@ -41,6 +41,7 @@
 	keepDeclines = 8            // refusals a machine: one a group, and some for want of room
 	barMost      = 3            // one in so many machines may be barred on symptoms; more is a shared trouble
 	timeoutFloor = Millis(1e3)  // ms; the shortest time-out of a bind: a full admission line takes as long
+	keepPrograms = 8            // programs that a machine is taken to keep; ours are the last of them, by our share
 	reserveFor   = Millis(2e3)  // ms of dearer asks that room is kept for: what comes before the list shows it
 	keepAsks     = 64           // asks a group: more than one group's within reserveFor
 	answerMargin = Millis(20)   // ms before the pending timeout by which the final answer is given
@@ -218,7 +219,8 @@
 	}
 	wl := &workload{Workload: w, group: g}
 	b := a.hold(now, wl, a.node(id))
-	b.confirmed, b.running = true, true
+	b.confirmed = true
+	a.started(b)
 	a.placed[w.ID] = b
 	return Step{Kind: Resident, Next: a.after(b)}
 }
@@ -295,7 +297,9 @@
 			a.confirms = keep(a.confirms, now-b.at, keepStarts)
 			n.misses = 0
 			n.declines = slices.DeleteFunc(n.declines, func(d decline) bool { return d.group == wl.group })
-			b.running = b.running || a.byRunning
+			if a.byRunning {
+				a.started(b)
+			}
 			a.placed[wl.ID] = b
 			return Step{Kind: Resident, Next: a.after(b)}
 		case Withdrawn:
@@ -333,6 +337,17 @@
 	}
 }
 
+// started notes that a bind's workload runs, and that its program came to the machine last. Of the programs that a
+// machine keeps, only our share of the allocators' can be ours: with many of them, none is known to be there.
+func (a *Allocator) started(b *bind) {
+	n := b.node
+	b.running = true
+	n.programs = slices.DeleteFunc(n.programs, func(o ServiceID) bool { return o == b.wl.Service })
+	if most := int(keepPrograms / a.allocators); most > 0 {
+		n.programs = keep(n.programs, b.wl.Service, most)
+	}
+}
+
 // Note takes what is told of a placed workload.
 func (a *Allocator) Note(now Millis, id WorkloadID, kind NoteKind, value float64) {
 	b := a.placed[id]
@@ -341,7 +356,7 @@
 	}
 	switch kind {
 	case Running:
-		b.running = true
+		a.started(b)
 	case CoresUsed:
 		b.used = value
 		if b.wl.Cores > 0 {
@@ -403,7 +418,7 @@
 	for _, entry := range nodes {
 		n := a.node(entry.ID)
 		if entry.Born != n.Born {
-			n.reports, n.sends, n.declines, n.misses = nil, nil, nil, 0
+			n.reports, n.programs, n.sends, n.declines, n.misses = nil, nil, nil, nil, 0
 		}
 		n.Node, n.listedAt = entry, now
 		n.size = Kind{}
@@ -928,9 +943,9 @@
 	return sum
 }
 
-// holds tells whether a workload of ours runs the service's program there.
+// holds tells whether the service's program is at hand: a workload of ours runs it, or one did lately.
 func (n *node) holds(s ServiceID) bool {
-	return slices.ContainsFunc(n.ours, func(b *bind) bool { return b.running && b.wl.Service == s })
+	return slices.Contains(n.programs, s) || slices.ContainsFunc(n.ours, func(b *bind) bool { return b.running && b.wl.Service == s })
 }
 
 func (n *node) miss(now Millis) { n.misses, n.missedAt = n.misses+1, now }
