--- a/choice/choice.go
+++ b/choice/choice.go
@@ -42,6 +42,7 @@
 	barMost      = 3            // one in so many machines may be barred on symptoms; more is a shared trouble
 	timeoutFloor = Millis(1e3)  // ms; the shortest time-out of a bind: a full admission line takes as long
 	keepPrograms = 8            // programs that a machine is taken to keep; ours are the last of them, by our share
+	reserveMost  = 10           // times reserveFor that few asks of ours are counted over, to stand for all allocators
 	reserveFor   = Millis(2e3)  // ms of dearer asks that room is kept for: what comes before the list shows it
 	keepAsks     = 64           // asks a group: more than one group's within reserveFor
 	answerMargin = Millis(20)   // ms before the pending timeout by which the final answer is given
@@ -141,36 +142,38 @@
 
 // Allocator places workloads by what it alone has seen.
 type Allocator struct {
-	groups      []group
-	kinds       []Kind
-	zone        ZoneID
-	zonePriced  bool
-	coldFor     Millis
-	coldFrom    float64
-	coldShare   float64 // offers within coldWindow that are ours to send to a cold machine; under 1 by turns
-	coldTurn    float64 // allocators that may send it one in each turn
-	ordinal     float64
-	since       Millis // our first call: what we sent before a restart is forgotten
-	coldWindow  Millis
-	mustAsk     bool
-	watchQuiet  Millis
-	byRunning   bool
-	reportsUse  bool
-	roomInList  bool
-	allocators  float64
-	maxBinds    int
-	mayProbe    bool
-	probes      float64 // that our asks have paid for and that are not sent yet
-	seed, draws uint64
-	nodes       []*node // by id
-	known       map[NodeID]*node
-	placed      map[WorkloadID]*bind
-	confirms    []Millis
-	useShares   []float64
-	mean        float64 // load, as of meanAt
-	meanAt      Millis
-	watchDue    Millis
-	watchFails  int // in a row
+	groups       []group
+	kinds        []Kind
+	zone         ZoneID
+	reserveFor   Millis  // over which our own asks stand for
+	reserveTimes float64 // so many times as many of all allocators within reserveFor
+	zonePriced   bool
+	coldFor      Millis
+	coldFrom     float64
+	coldShare    float64 // offers within coldWindow that are ours to send to a cold machine; under 1 by turns
+	coldTurn     float64 // allocators that may send it one in each turn
+	ordinal      float64
+	since        Millis // our first call: what we sent before a restart is forgotten
+	coldWindow   Millis
+	mustAsk      bool
+	watchQuiet   Millis
+	byRunning    bool
+	reportsUse   bool
+	roomInList   bool
+	allocators   float64
+	maxBinds     int
+	mayProbe     bool
+	probes       float64 // that our asks have paid for and that are not sent yet
+	seed, draws  uint64
+	nodes        []*node // by id
+	known        map[NodeID]*node
+	placed       map[WorkloadID]*bind
+	confirms     []Millis
+	useShares    []float64
+	mean         float64 // load, as of meanAt
+	meanAt       Millis
+	watchDue     Millis
+	watchFails   int // in a row
 }
 
 // New makes an allocator that knows its settings and nothing else.
@@ -186,6 +189,8 @@
 		mayProbe: s.MayProbe, seed: seed, known: map[NodeID]*node{}, placed: map[WorkloadID]*bind{},
 		meanAt: LongAgo,
 	}
+	over := min(a.allocators, reserveMost)
+	a.reserveFor, a.reserveTimes = reserveFor*Millis(over), a.allocators/over
 	for _, g := range s.Groups {
 		limit := loadCap
 		if g.Calm > 0 {
@@ -632,11 +637,11 @@
 			continue
 		}
 		for _, o := range g.asks {
-			if g.utility == wl.group.utility && (o.again || now-o.at >= reserveFor) {
+			if g.utility == wl.group.utility && (o.again || now-o.at >= a.reserveFor) {
 				continue
 			}
 			largest.Cores, largest.Memory = max(largest.Cores, o.size.Cores), max(largest.Memory, o.size.Memory)
-			if now-o.at < reserveFor {
+			if now-o.at < a.reserveFor {
 				recent = append(recent, o.size)
 			}
 		}
@@ -648,7 +653,7 @@
 	for _, size := range recent {
 		wanted += max(size.Cores/largest.Cores, size.Memory/largest.Memory)
 	}
-	wanted = max(1, math.Ceil(wanted))
+	wanted = max(1, math.Ceil(wanted*a.reserveTimes))
 	places := func(n *node, room Kind) float64 {
 		used, _ := a.used(now, n)
 		return min(room.Cores/largest.Cores, room.Memory/largest.Memory,
