Keep room for the asks that all allocators together expect

Cause: room was kept for the two seconds of first and dearer asks that one allocator saw; with hundreds it saw one or none. Own asks are counted over up to ten times as long and multiplied by what is missing to all allocators; the dearer groups' part is at most half as many places as there are machines.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -41,8 +41,9 @@
 	keepDeclines = 8            // refusals a machine: one a group, and some for want of room
 	barMost      = 3            // one in so many machines may be barred on symptoms; more is a shared trouble
 	timeoutFloor = Millis(1e3)  // ms; the shortest time-out of a bind: a full admission line takes as long
-	keepPrograms = 8            // programs that a machine is taken to keep; ours are the last of them, by our share
-	reserveMost  = 10           // times reserveFor that few asks of ours are counted over, to stand for all allocators
+	keepPrograms = 8            // programs that a machine is taken to keep after their last task
+	dearShare    = 0.5          // of the machines' number: more places are not kept for dearer groups at once
+	reserveMost  = 10           // times reserveFor that our own asks are counted over, to stand for all
 	reserveFor   = Millis(2e3)  // ms of dearer asks that room is kept for: what comes before the list shows it
 	keepAsks     = 64           // asks a group: more than one group's within reserveFor
 	answerMargin = Millis(20)   // ms before the pending timeout by which the final answer is given
@@ -342,8 +343,8 @@
 	}
 }
 
-// started notes that a bind's workload runs, and that its program came to the machine last. Of the programs that a
-// machine keeps, only our share of the allocators' can be ours: with many of them, none is known to be there.
+// started notes that a bind's workload runs, and its program. Of those that a machine keeps only our share can
+// be ours: with many allocators, none is known to be there.
 func (a *Allocator) started(b *bind) {
 	n := b.node
 	b.running = true
@@ -475,10 +476,10 @@
 		}
 		return gone
 	})
-	// The watch may have broken unheard, and a failed call does not say whether it stands: news puts off the next.
-	// Calls of many allocators in step overrun the list, and calls again at once keep it so; each spaces its first
-	// call by its number and the next ones by chance, and waits longer after each failure. It should also cover a
-	// list that is slow for any other reason. It could hurt where few allocators wait though the list is idle.
+	// The watch may have broken unheard, and a failed call does not say whether it stands: news puts off the
+	// next call. Many allocators in step overrun the list, and calls again at once keep it so: first calls are
+	// spaced by number, later ones by chance and ever longer after failures. It should also cover a list that
+	// is slow for any other reason. It could hurt where a few allocators wait for an idle list.
 	if a.mustAsk && now >= a.watchDue {
 		c.Watch, a.watchDue = true, now+a.jitter(a.watchQuiet)
 	}
@@ -623,14 +624,15 @@
 // reserve returns which machines are kept from wl for groups of higher utility: a full fleet that takes all
 // alike turns away what is worth most, above all the large asks that only find room in one piece. Room is
 // kept for what they have lately asked of us, at least for one of their largest; while there is less, the
-// machines with the most room fill up no further.
+// machines with the most room fill up no further. Our asks stand for those of all allocators, counted over
+// longer and multiplied; where dearer ones are many, a part of the fleet stays open.
 // Within a group those that come again give way to first asks: a first start in time earns most of a short
 // workload's utility, and one that comes again has lost or had it.
 // It should also help when any trouble takes room away. It could hurt where little of high utility follows,
 // and it makes those that come again wait longer on a fleet that stays full.
 func (a *Allocator) reserve(now Millis, wl *workload) func(*node) bool {
 	var largest Kind
-	var recent []Kind
+	var recent, dear []Kind
 	for i := range a.groups {
 		g := &a.groups[i]
 		if g.utility < wl.group.utility || g.utility == wl.group.utility && !wl.Again {
@@ -642,18 +644,24 @@
 			}
 			largest.Cores, largest.Memory = max(largest.Cores, o.size.Cores), max(largest.Memory, o.size.Memory)
 			if now-o.at < a.reserveFor {
-				recent = append(recent, o.size)
+				into := &recent
+				if g.utility > wl.group.utility {
+					into = &dear
+				}
+				*into = append(*into, o.size)
 			}
 		}
 	}
 	if largest.Cores <= 0 || largest.Memory <= 0 {
 		return func(*node) bool { return false }
 	}
-	wanted := 0.0
-	for _, size := range recent {
-		wanted += max(size.Cores/largest.Cores, size.Memory/largest.Memory)
+	sum := func(sizes []Kind) (places float64) {
+		for _, size := range sizes {
+			places += a.reserveTimes * max(size.Cores/largest.Cores, size.Memory/largest.Memory)
+		}
+		return math.Ceil(places)
 	}
-	wanted = max(1, math.Ceil(wanted*a.reserveTimes))
+	wanted := max(1, min(sum(dear), float64(len(a.nodes))*dearShare)+sum(recent))
 	places := func(n *node, room Kind) float64 {
 		used, _ := a.used(now, n)
 		return min(room.Cores/largest.Cores, room.Memory/largest.Memory,
@@ -758,10 +766,9 @@
 
 // coldAllows keeps our binds to a machine just up within our share of what it bears, and ramps them up. Where
 // allocators outnumber what it bears, each has a turn of one bind, which all work out alike from the machine,
-// its start and their numbers. A window touches two turns at the most, also with binds under way, so that each
-// turn has half of what is borne. After a start of our own we wait for a window or a whole turn: what we sent
-// before a restart is forgotten. It should hold for any number of allocators; it leaves cold machines idle
-// where those whose turn it is have no asks.
+// its start and their numbers. A window touches two turns at most, also with binds under way: each turn has
+// half of what is borne. After our own start we wait for a window or a whole turn, since what we sent before
+// is forgotten. It holds for any number; it leaves machines idle where those whose turn it is have no asks.
 func (a *Allocator) coldAllows(now Millis, n *node) bool {
 	if !a.cold(now, n) {
 		return true
@@ -950,7 +957,8 @@
 
 // holds tells whether the service's program is at hand: a workload of ours runs it, or one did lately.
 func (n *node) holds(s ServiceID) bool {
-	return slices.Contains(n.programs, s) || slices.ContainsFunc(n.ours, func(b *bind) bool { return b.running && b.wl.Service == s })
+	return slices.Contains(n.programs, s) ||
+		slices.ContainsFunc(n.ours, func(b *bind) bool { return b.running && b.wl.Service == s })
 }
 
 func (n *node) miss(now Millis) { n.misses, n.missedAt = n.misses+1, now }
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -314,6 +314,24 @@
 	assert.False(t, a.reserve(reserveFor, wl)(a.known[1]), "no first ask came lately")
 }
 
+func TestReserveStandsForAllAllocators(t *testing.T) {
+	a := fleet(t, 4)
+	a.reserveTimes = 30
+	a.groups[runOnce].asks = []ask{{size: Kind{1, 1}}}
+	for _, n := range a.nodes {
+		n.FreeCores = 0.6 // no place for the dear ask: half of the machines fill up no further
+	}
+	kept, held := a.reserve(1, newAsk(a, 0, 0.5, 0.5)), 0
+	for _, n := range a.nodes {
+		if kept(n) {
+			held++
+		}
+	}
+	assert.Equal(t, 2, held)
+	assert.InDelta(t, 30, New(Settings{Allocators: 300}, 1).reserveTimes, 0)
+	assert.InDelta(t, 1, New(Settings{Allocators: 3}, 1).reserveTimes, 0)
+}
+
 func TestAllocatorsMeetOnAColdStart(t *testing.T) {
 	picks := map[ServiceID]NodeID{}
 	for seed := range uint64(4) {
