--- a/choice/choice.go
+++ b/choice/choice.go
@@ -183,7 +183,7 @@
 	a := &Allocator{
 		kinds: s.Kinds, zone: s.Zone, zonePriced: s.ZonePrice > 0,
 		coldFor: s.ColdFor, coldFrom: s.ColdFrom, coldShare: math.Floor(s.ColdBears / float64(n)),
-		coldTurn: math.Floor(s.ColdBears / 2), ordinal: float64(s.Ordinal), since: Millis(math.Inf(1)),
+		coldTurn: math.Floor(s.ColdBears / 2), ordinal: float64(max(0, s.Ordinal)), since: Millis(math.Inf(1)),
 		coldWindow: s.OverloadFor * budgetSpare, mustAsk: s.MustAsk,
 		watchQuiet: min(watchQuiet, s.AskWithin/2), byRunning: s.ConfirmsRunning,
 		reportsUse: s.ReportsUse, roomInList: s.RoomInList, allocators: float64(n), maxBinds: s.MaxBinds,
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -242,6 +242,12 @@
 	assert.InDelta(t, 7, New(Settings{Allocators: 3, ColdBears: 23}, 1).coldShare, 0)
 }
 
+func TestOddOwnNumberCountsAsAnAllocator(t *testing.T) {
+	past := New(Settings{Allocators: 3, Ordinal: 9, ColdBears: 23}, 1)
+	assert.InDelta(t, 2, past.coldShare, 0, "a number past the count raises the count")
+	assert.InDelta(t, 0, New(Settings{Allocators: 3, Ordinal: -1}, 1).ordinal, 0)
+}
+
 // Rule 5: a service's workloads in one place never pass the most.
 func TestSpreadIsKept(t *testing.T) {
 	for name, c := range map[string]struct {
