--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -355,6 +355,32 @@
 	}
 }
 
+func TestColdStartsMeetOverAllZonesOnTheRoomierOfTwo(t *testing.T) {
+	a := fleet(t, 2)
+	a.allocators, a.zonePriced = 300, true
+	for i, n := range a.nodes {
+		n.Zone, n.FreeCores = ZoneID(i), float64(4+i)
+	}
+	for s := range ServiceID(9) {
+		wl := newAsk(a, 0, 1, 1)
+		wl.Service = s
+		assert.Equal(t, NodeID(2), a.pick(0, wl).ID, "in another zone than ours")
+	}
+}
+
+func TestProgramsAreRememberedByOurShareOfTheAllocators(t *testing.T) {
+	for allocators, want := range map[float64]int{1: 8, 3: 2, 9: 0} {
+		a := fleet(t, 1)
+		a.allocators = allocators
+		for s := range ServiceID(20) {
+			wl := newAsk(a, 0, 1, 1)
+			wl.Service = s
+			a.started(&bind{wl: wl, node: a.known[1]})
+		}
+		assert.Len(t, a.known[1].programs, want)
+	}
+}
+
 func TestBarredMachinesStayAPartOfTheFleet(t *testing.T) {
 	a := fleet(t, 6)
 	a.known[3].miss(0)
