Work out the usual confirmation once a choice, not once a resident

A profile showed the same maximum over the last confirmations worked out for every bind of every machine at every choice. It is now worked out once in barred; what is decided is unchanged.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -874,7 +874,7 @@
 // fleet: failed contacts, or a bind that is unanswered for too long.
 func (a *Allocator) barred(now Millis) []*node {
 	var grades [2][]*node
-	ready := 0
+	ready, late := 0, hangAfter+a.usual()
 	for _, n := range a.nodes {
 		if n.State != Ready {
 			continue
@@ -883,7 +883,7 @@
 		switch {
 		case n.misses > 0 && now-n.missedAt < missPause*Millis(int(1)<<min(n.misses-1, missMost)):
 			grades[0] = append(grades[0], n)
-		case slices.ContainsFunc(n.ours, func(b *bind) bool { return a.overdue(now, b) }):
+		case slices.ContainsFunc(n.ours, func(b *bind) bool { return !b.confirmed && now-b.at > late }):
 			grades[1] = append(grades[1], n)
 		}
 	}
@@ -891,13 +891,12 @@
 	return all[:min(len(all), ready/barMost)]
 }
 
-// overdue tells whether a bind has been unanswered for longer than any confirmation lately took.
-func (a *Allocator) overdue(now Millis, b *bind) bool {
-	usual := firstStart
+// usual is the longest that any confirmation lately took; a bind unanswered for much longer is overdue.
+func (a *Allocator) usual() Millis {
 	if len(a.confirms) > 0 {
-		usual = slices.Max(a.confirms)
+		return slices.Max(a.confirms)
 	}
-	return !b.confirmed && now-b.at > hangAfter+usual
+	return firstStart
 }
 
 // jitter is a quarter more or less than d, by chance.
