--- /dev/null
+++ b/internal/allocator/engine.go
@@ -0,0 +1,403 @@
+// Package allocator is the allocator without I/O: one state machine that carries workloads from ask to end.
+//
+// Calls come in, each with its time; what is to be done goes out through World. Where a workload goes is
+// decided by choice alone; the engine keeps each workload's step, its timers, and the order of things. It
+// runs alike behind sockets, in virtual time, on the bench and in tests. Times are milliseconds on a clock
+// that never steps back. An engine belongs to one goroutine, and World must not call back into it.
+package allocator
+
+import (
+	"container/heap"
+	"slices"
+
+	"grebeglade/choice"
+	"grebeglade/internal/record"
+)
+
+// clockGrain is how far apart two times may be and still be the same, in ms: clocks outside count
+// nanoseconds, and a time that was rounded down must not miss its timer.
+const clockGrain = choice.Millis(1e-6)
+
+// Verdict is the one final answer to an ask.
+type Verdict uint8
+
+const (
+	Placed        Verdict = iota + 1
+	Rejected              // asking again does no harm
+	Unschedulable         // it may have run
+)
+
+func (v Verdict) String() string { return [...]string{"", "placed", "rejected", "unschedulable"}[v] }
+
+// Why says why a bind is called off.
+type Why uint8
+
+const (
+	TimedOut Why = iota + 1 // no answer in time: nobody waits for it any more
+	Withdrawn
+	Moved // so that it is placed anew
+)
+
+// World is what the engine acts on.
+type World interface {
+	// Bind offers the workload to the node, which may accept it within the time-out.
+	Bind(id choice.WorkloadID, bind int, node choice.NodeID, timeout choice.Millis)
+	// Stop calls a bind off. With onlyWaiting, a node that has accepted it keeps it.
+	Stop(id choice.WorkloadID, bind int, node choice.NodeID, why Why, onlyWaiting bool)
+	Probe(node choice.NodeID)
+	// Watch asks the machine list for its changes.
+	Watch()
+	// Answer gives the owner the final answer; nothing is sent for the workload after Rejected or Unschedulable.
+	Answer(id choice.WorkloadID, v Verdict, node choice.NodeID)
+	// Ended tells that a placed workload stands no more.
+	Ended(id choice.WorkloadID, node choice.NodeID, moved bool, why choice.Reason)
+	// Dropped tells that the engine has let go of the workload; its id will not be named again.
+	Dropped(id choice.WorkloadID)
+	// Wake asks for a call of Tick at that time; an earlier one stands besides.
+	Wake(at choice.Millis)
+}
+
+// held is one workload that the module has not let go of.
+type held struct {
+	id        choice.WorkloadID
+	group     choice.GroupID
+	step      choice.Step
+	binds     int
+	node      choice.NodeID // of the last bind
+	placed    bool
+	withdrawn bool
+	moving    bool
+	timer     uint64 // number of the timer that counts for its step, 0 for none
+}
+
+// latest tells whether the bind of that number is the last one made, and may still be answered.
+func (h *held) latest(bind int) bool { return bind+1 == h.binds && h.step.Kind != choice.Wait }
+
+// Engine is one allocator.
+type Engine struct {
+	module   *choice.Allocator
+	groups   []choice.Group
+	world    World
+	log      *record.Log
+	timesOut bool
+	held     map[choice.WorkloadID]*held
+	timers   timers
+	timerNo  uint64
+	wake     choice.Millis // earliest wake-up asked for and not come, or 0
+	woken    bool          // whether wake holds
+}
+
+// Options say what an engine does itself.
+type Options struct {
+	TimesOut bool        // binds time out here; else the world reports their time-outs
+	Log      *record.Log // may be nil
+}
+
+// New makes an engine. Start must be called first.
+func New(s choice.Settings, seed uint64, w World, o Options) *Engine {
+	return &Engine{
+		module: choice.New(s, seed), groups: s.Groups, world: w, log: o.Log, timesOut: o.TimesOut,
+		held: map[choice.WorkloadID]*held{},
+	}
+}
+
+// Start begins the chores.
+func (e *Engine) Start(now choice.Millis) {
+	e.chores(now)
+	e.ask(now)
+}
+
+// Held is the number of workloads that are pending or placed.
+func (e *Engine) Held() int { return len(e.held) }
+
+// Ask takes a workload under an id that was never used before.
+func (e *Engine) Ask(now choice.Millis, w choice.Workload) {
+	e.log.Add(record.Event{At: now, Kind: record.Asked, Workload: w.ID, Group: w.Group})
+	h := &held{id: w.ID, group: w.Group}
+	e.held[w.ID] = h
+	e.carryOut(now, h, e.module.Place(now, w))
+	e.ask(now)
+}
+
+// Adopt takes over a workload that runs already; its bind counts as number 0.
+func (e *Engine) Adopt(now choice.Millis, w choice.Workload, node choice.NodeID) {
+	e.log.Add(record.Event{At: now, Kind: record.Adopted, Workload: w.ID, Group: w.Group, Node: node})
+	e.held[w.ID] = &held{
+		id: w.ID, group: w.Group, step: e.module.Adopt(now, w, node), binds: 1, node: node, placed: true,
+	}
+}
+
+// Confirmed takes a node's yes. One for a bind that has ended is passed over: its end was said to the node.
+func (e *Engine) Confirmed(now choice.Millis, id choice.WorkloadID, bind int, l *choice.Load) {
+	h := e.held[id]
+	if h == nil || h.placed || !h.latest(bind) {
+		e.report(now, h, l)
+		return
+	}
+	h.placed, h.timer = true, 0
+	e.note(now, h, choice.Result{Kind: choice.Confirmed})
+	if !h.withdrawn {
+		e.log.Add(record.Event{At: now, Kind: record.Answered, Detail: uint8(Placed), Workload: id, Node: h.node})
+		e.world.Answer(id, Placed, h.node)
+	}
+	e.carryOut(now, h, h.step.Next(now, choice.Result{Kind: choice.Confirmed, Load: l}))
+}
+
+// report hands on the load that came with an answer that itself comes too late.
+func (e *Engine) report(now choice.Millis, h *held, l *choice.Load) {
+	if l != nil && h != nil {
+		e.module.Report(now, h.node, *l)
+	}
+}
+
+// Settled takes the end of a bind: of one that is out r.Kind says how, a placed one has then ended. Of a
+// bind that ended before, only the load counts.
+func (e *Engine) Settled(
+	now choice.Millis, id choice.WorkloadID, bind int, node choice.NodeID, r choice.Result,
+) {
+	h := e.held[id]
+	if h == nil || !h.latest(bind) {
+		if r.Load != nil {
+			e.module.Report(now, node, *r.Load)
+		}
+		return
+	}
+	e.settle(now, h, r)
+	e.ask(now)
+}
+
+func (e *Engine) settle(now choice.Millis, h *held, r choice.Result) {
+	if h.placed {
+		r.Kind = choice.Ended
+		e.log.Add(record.Event{At: now, Kind: record.Ended, Workload: h.id, Node: h.node, Reason: r.Reason})
+		if !h.withdrawn {
+			e.world.Ended(h.id, h.node, h.moving, r.Reason)
+		}
+	} else {
+		e.note(now, h, r)
+	}
+	h.timer = 0
+	e.carryOut(now, h, h.step.Next(now, r))
+}
+
+func (e *Engine) note(now choice.Millis, h *held, r choice.Result) {
+	e.log.Add(record.Event{
+		At: now, Kind: record.Outcome, Detail: uint8(r.Kind), Reason: r.Reason, Workload: h.id, Node: h.node,
+		Bind: int32(h.binds - 1), Group: h.group,
+	})
+}
+
+// Withdraw takes the owner's word that it no longer wants the workload. No answer is owed after it.
+func (e *Engine) Withdraw(now choice.Millis, id choice.WorkloadID) {
+	h := e.held[id]
+	if h == nil || h.withdrawn {
+		return
+	}
+	h.withdrawn = true
+	e.log.Add(record.Event{At: now, Kind: record.Withdrawn, Workload: id})
+	if h.step.Kind != choice.Wait {
+		e.world.Stop(id, h.binds-1, h.node, Withdrawn, false)
+	}
+	e.carryOut(now, h, h.step.Next(now, choice.Result{Kind: choice.Withdrawn, Over: true}))
+}
+
+// Cut takes the loss of the connection to a node: what was out there may have run. What stands there does
+// so still, as far as anyone knows.
+func (e *Engine) Cut(now choice.Millis, node choice.NodeID) {
+	for _, h := range e.on(node) {
+		if !h.placed {
+			e.settle(now, h, choice.Result{Kind: choice.Unclear, Over: h.withdrawn})
+		}
+	}
+	e.ask(now)
+}
+
+// Stands takes a node's own account of our workloads there: those that it does not name have ended.
+func (e *Engine) Stands(now choice.Millis, node choice.NodeID, named func(choice.WorkloadID, int) bool) {
+	for _, h := range e.on(node) {
+		if h.placed && !named(h.id, h.binds-1) {
+			e.settle(now, h, choice.Result{Kind: choice.Ended, Over: true})
+		}
+	}
+	e.ask(now)
+}
+
+// Lost takes the loss of a node with all that stood there or was under way to it.
+func (e *Engine) Lost(now choice.Millis, node choice.NodeID) {
+	e.Cut(now, node)
+	e.Stands(now, node, func(choice.WorkloadID, int) bool { return false })
+}
+
+// on returns the workloads whose last bind went to the node, in the order of their ids.
+func (e *Engine) on(node choice.NodeID) []*held {
+	var there []*held
+	for _, h := range e.held {
+		if h.node == node && h.binds > 0 && h.step.Kind != choice.Wait {
+			there = append(there, h)
+		}
+	}
+	slices.SortFunc(there, func(x, y *held) int { return int(int64(x.id) - int64(y.id)) })
+	return there
+}
+
+// Holds tells whether that bind is the workload's last and placed.
+func (e *Engine) Holds(id choice.WorkloadID, bind int) bool {
+	h := e.held[id]
+	return h != nil && h.placed && h.latest(bind)
+}
+
+// Surplus tells what to do with a copy that nobody waits for any more: whether to stop it. A run-once
+// workload that was started stays, since its owner was told that it may run.
+func (e *Engine) Surplus(g choice.GroupID) bool {
+	return int(g) >= len(e.groups) || e.groups[g].Effect != choice.RunOnce
+}
+
+// Note takes what is told of a workload; of a bind that is not the last it tells nothing.
+func (e *Engine) Note(now choice.Millis, id choice.WorkloadID, bind int, k choice.NoteKind, value float64) {
+	if h := e.held[id]; h != nil && h.latest(bind) {
+		e.module.Note(now, id, k, value)
+	}
+}
+
+// Report takes a load report that came by itself.
+func (e *Engine) Report(now choice.Millis, node choice.NodeID, l choice.Load) {
+	e.module.Report(now, node, l)
+}
+
+// Probed takes the answer to a probe, or that none came.
+func (e *Engine) Probed(now choice.Millis, node choice.NodeID, answered bool, l *choice.Load) {
+	e.module.Probed(now, node, answered, l)
+}
+
+// List takes a message of the machine list. Those who send it see to its order.
+func (e *Engine) List(now choice.Millis, k choice.ListKind, nodes []choice.Node) {
+	e.log.Add(record.Event{At: now, Kind: record.Listed, Detail: uint8(k), Bind: int32(len(nodes))})
+	e.module.List(now, k, nodes)
+}
+
+// Tick does what has come due. It may be called at any time.
+func (e *Engine) Tick(now choice.Millis) {
+	if e.woken && e.wake <= now+clockGrain {
+		e.woken = false
+	}
+	for len(e.timers) > 0 && e.timers[0].at <= now+clockGrain {
+		t := heap.Pop(&e.timers).(timer)
+		if t.chores {
+			e.chores(now)
+			continue
+		}
+		h := e.held[t.id]
+		if h == nil || h.timer != t.no {
+			continue
+		}
+		h.timer = 0
+		switch h.step.Kind {
+		case choice.Wait:
+			e.carryOut(now, h, h.step.Next(now, choice.Result{Kind: choice.Due}))
+		default:
+			runOnce := int(h.group) < len(e.groups) && e.groups[h.group].Effect == choice.RunOnce
+			if !h.withdrawn {
+				e.world.Stop(h.id, h.binds-1, h.node, TimedOut, runOnce)
+			}
+			e.settle(now, h, choice.Result{Kind: choice.TimedOut})
+		}
+	}
+	e.ask(now)
+}
+
+// carryOut does what a step asks for and keeps its continuation.
+func (e *Engine) carryOut(now choice.Millis, h *held, s choice.Step) {
+	h.step = s
+	switch s.Kind {
+	case choice.Bind:
+		h.node = s.Node
+		h.binds++
+		e.log.Add(record.Event{
+			At: now, Kind: record.Bound, Workload: h.id, Node: s.Node, Bind: int32(h.binds - 1), Group: h.group,
+		})
+		if e.timesOut {
+			h.timer = e.after(now+s.Timeout, h.id)
+		}
+		e.world.Bind(h.id, h.binds-1, s.Node, s.Timeout)
+	case choice.Wait:
+		h.timer = e.after(max(s.Until, now), h.id)
+	case choice.Rejected:
+		e.answer(now, h, Rejected)
+	case choice.Unschedulable:
+		e.answer(now, h, Unschedulable)
+	}
+	if s.Next == nil {
+		delete(e.held, h.id)
+		e.world.Dropped(h.id)
+	}
+}
+
+func (e *Engine) answer(now choice.Millis, h *held, v Verdict) {
+	if h.withdrawn {
+		return
+	}
+	e.log.Add(record.Event{At: now, Kind: record.Answered, Detail: uint8(v), Workload: h.id, Group: h.group})
+	e.world.Answer(h.id, v, 0)
+}
+
+func (e *Engine) chores(now choice.Millis) {
+	c := e.module.Upkeep(now)
+	if c.Watch {
+		e.world.Watch()
+	}
+	for _, n := range c.Probes {
+		e.log.Add(record.Event{At: now, Kind: record.Probed, Node: n})
+		e.world.Probe(n)
+	}
+	for _, id := range c.Moves {
+		h := e.held[id]
+		if h == nil || h.withdrawn {
+			continue
+		}
+		h.moving = true
+		e.log.Add(record.Event{At: now, Kind: record.Stopped, Detail: uint8(Moved), Workload: id, Node: h.node})
+		e.world.Stop(id, h.binds-1, h.node, Moved, false)
+	}
+	e.timerNo++
+	heap.Push(&e.timers, timer{at: c.Again, no: e.timerNo, chores: true})
+}
+
+// after sets a timer for a workload and returns its number.
+func (e *Engine) after(at choice.Millis, id choice.WorkloadID) uint64 {
+	e.timerNo++
+	heap.Push(&e.timers, timer{at: at, no: e.timerNo, id: id})
+	return e.timerNo
+}
+
+// ask sees to it that a wake-up comes by the time of the first timer.
+func (e *Engine) ask(now choice.Millis) {
+	if len(e.timers) == 0 || e.woken && e.wake <= e.timers[0].at {
+		return
+	}
+	e.wake, e.woken = max(now, e.timers[0].at), true
+	e.world.Wake(e.wake)
+}
+
+// timer is one thing that comes due: chores, or the wait or time-out of a workload.
+type timer struct {
+	at     choice.Millis
+	no     uint64
+	id     choice.WorkloadID
+	chores bool
+}
+
+// timers is a heap, earliest first, equal times in the order in which they were set.
+type timers []timer
+
+func (t timers) Len() int { return len(t) }
+func (t timers) Less(i, j int) bool {
+	return t[i].at < t[j].at || t[i].at == t[j].at && t[i].no < t[j].no
+}
+func (t timers) Swap(i, j int) { t[i], t[j] = t[j], t[i] }
+func (t *timers) Push(x any)   { *t = append(*t, x.(timer)) }
+func (t *timers) Pop() any {
+	old := *t
+	x := old[len(old)-1]
+	*t = old[:len(old)-1]
+	return x
+}
--- a/internal/drill/adapter.go
+++ b/internal/drill/adapter.go
@@ -8,34 +8,52 @@
 	"math"
 
 	"grebeglade/choice"
+	"grebeglade/internal/allocator"
 )
 
-// upkeepToken is the timer token of chores; workloads' waits count up from the next one.
-const upkeepToken = 0
-
 // cameAgain is the bit of a task that was refused, failed, moved or lost before.
 const cameAgain = 16
 
-// held is one workload that the module has not let go of: its step and how many binds it has had.
-type held struct {
-	step   choice.Step
-	binds  int
-	landed bool
-	token  uint32 // timer of its wait
+// instance is one allocator. Nothing in it is reached from another instance. It is the engine's world: what
+// the engine wants goes out as records of the wire.
+type instance struct {
+	id      uint16
+	engine  *allocator.Engine
+	reports []string // names of the values in a load report
+	out     *reply
 }
 
-// latest tells whether attempt is the last one made.
-func (h *held) latest(attempt uint8) bool { return int(attempt)+1 == h.binds }
+func (in *instance) Bind(id choice.WorkloadID, _ int, node choice.NodeID, timeout choice.Millis) {
+	in.out.record(outBind, in.id, uint32(id), uint32(node), nanos(timeout))
+}
 
-// instance is one allocator. Nothing in it is reached from another instance.
-type instance struct {
-	alloc   *choice.Allocator
-	reports []string // names of the values in a load report
-	held    map[uint32]*held
-	waits   map[uint32]uint32 // timer token to workload
-	token   uint32
+// Stop takes a placed task off. What timed out or was withdrawn, the bench sees to itself.
+func (in *instance) Stop(id choice.WorkloadID, _ int, _ choice.NodeID, why allocator.Why, _ bool) {
+	if why == allocator.Moved {
+		in.out.record(outTakeOff, in.id, uint32(id))
+	}
+}
+
+func (in *instance) Probe(n choice.NodeID) { in.out.record(outTest, in.id, uint32(n)) }
+
+func (in *instance) Watch() { in.out.record(outObserve, in.id, uint8(1)) }
+
+// Answer says what the bench does not know by itself.
+func (in *instance) Answer(id choice.WorkloadID, v allocator.Verdict, _ choice.NodeID) {
+	switch v {
+	case allocator.Rejected:
+		in.out.record(outPushBack, in.id, uint32(id), uint64(0))
+	case allocator.Unschedulable:
+		in.out.record(outAbort, in.id, uint32(id))
+	}
 }
 
+func (in *instance) Ended(choice.WorkloadID, choice.NodeID, bool, choice.Reason) {}
+
+func (in *instance) Dropped(choice.WorkloadID) {}
+
+func (in *instance) Wake(at choice.Millis) { in.out.record(outAlarm, in.id, nanos(at), uint32(0)) }
+
 // host runs the instances of one process.
 type host struct {
 	instances map[uint16]*instance
@@ -85,26 +103,29 @@
 	case inPowerOff:
 		delete(h.instances, id)
 	case inDirectory:
-		return h.directory(now, id, in, f)
+		return h.directory(now, in, f)
 	case inNewTask:
-		h.newTask(now, id, in, f)
+		in.newTask(now, f)
 	case inStanding:
 		in.standing(now, f)
 	case inLanded:
 		req, attempt := f.u32(), f.u8()
 		f.skip(4 + 8)
-		h.landed(now, id, in, req, attempt, f)
+		if f.err == nil {
+			in.engine.Confirmed(now, choice.WorkloadID(req), int(attempt), nil)
+		}
 	case inHint:
 		in.hint(now, f)
 	case inSettled:
-		h.settled(now, id, in, f)
+		in.settled(now, f)
 	case inDropped:
-		req := f.u32()
-		if held := in.held[req]; held != nil && f.err == nil {
-			h.advance(now, id, in, req, held, choice.Result{Kind: choice.Withdrawn, Over: true})
+		if req := f.u32(); f.err == nil {
+			in.engine.Withdraw(now, choice.WorkloadID(req))
 		}
 	case inWakeup:
-		h.wakeup(now, id, in, f)
+		if f.skip(4); f.err == nil {
+			in.engine.Tick(now)
+		}
 	case inPong:
 		in.pong(now, f)
 	}
@@ -148,16 +169,14 @@
 	if err != nil {
 		return err
 	}
-	in := &instance{
-		alloc: choice.New(s, seed), reports: reports,
-		held: map[uint32]*held{}, waits: map[uint32]uint32{}, token: upkeepToken + 1,
-	}
+	in := &instance{id: id, reports: reports, out: &h.out}
+	in.engine = allocator.New(s, seed, in, allocator.Options{})
 	h.instances[id] = in
-	h.chores(now, id, in)
+	in.engine.Start(now)
 	return nil
 }
 
-func (h *host) directory(now choice.Millis, id uint16, in *instance, f *fields) error {
+func (h *host) directory(now choice.Millis, in *instance, f *fields) error {
 	kind := f.u8()
 	f.skip(8)
 	slot := f.u32()
@@ -175,11 +194,11 @@
 			return fmt.Errorf("names list %d, which was never sent", slot)
 		}
 	}
-	in.alloc.List(now, as, nodes)
+	in.engine.List(now, as, nodes)
 	return nil
 }
 
-func (h *host) newTask(now choice.Millis, id uint16, in *instance, f *fields) {
+func (in *instance) newTask(now choice.Millis, f *fields) {
 	req := f.u32()
 	w := choice.Workload{ID: choice.WorkloadID(req), Group: choice.GroupID(f.u16())}
 	f.skip(2 + 8)
@@ -188,12 +207,9 @@
 	w.Service = choice.ServiceID(f.u64())
 	w.Cores, w.Memory = f.f32(), f.f32()
 	w.Again = f.u8()&cameAgain != 0
-	if f.err != nil {
-		return
+	if f.err == nil {
+		in.engine.Ask(now, w)
 	}
-	held := &held{}
-	in.held[req] = held
-	h.carryOut(now, id, in, req, held, in.alloc.Place(now, w))
 }
 
 func (in *instance) standing(now choice.Millis, f *fields) {
@@ -205,38 +221,25 @@
 	f.skip(8)
 	w.Cores = f.f32()
 	if f.err == nil {
-		in.held[req] = &held{step: in.alloc.Adopt(now, w, node), binds: 1, landed: true}
-	}
-}
-
-func (h *host) landed(now choice.Millis, id uint16, in *instance, req uint32, attempt uint8, f *fields) {
-	held := in.held[req]
-	if f.err != nil || held == nil || held.landed || !held.latest(attempt) {
-		return
+		in.engine.Adopt(now, w, node)
 	}
-	held.landed = true
-	h.advance(now, id, in, req, held, choice.Result{Kind: choice.Confirmed})
 }
 
 func (in *instance) hint(now choice.Millis, f *fields) {
 	req, attempt, what := f.u32(), f.u8(), f.u8()
 	f.skip(4)
 	level := f.f32()
-	held := in.held[req]
 	notes := map[uint8]choice.NoteKind{
 		1: choice.Running, 2: choice.CoresUsed, 3: choice.MemoryUsed, 4: choice.ServedShare, 5: choice.MemoryFilled,
 	}
 	kind, known := notes[what]
-	if f.err == nil && known && held != nil && held.latest(attempt) {
-		in.alloc.Note(now, choice.WorkloadID(req), kind, level)
+	if f.err == nil && known {
+		in.engine.Note(now, choice.WorkloadID(req), int(attempt), kind, level)
 	}
 }
 
-// resultOf says what an outcome code means for the bind that it ends.
-func resultOf(code uint8, landed bool) choice.ResultKind {
-	if landed {
-		return choice.Ended
-	}
+// resultOf says what an outcome code means for a bind that is out.
+func resultOf(code uint8) choice.ResultKind {
 	switch code {
 	case 2:
 		return choice.Declined
@@ -250,7 +253,7 @@
 	return choice.Unclear
 }
 
-func (h *host) settled(now choice.Millis, id uint16, in *instance, f *fields) {
+func (in *instance) settled(now choice.Millis, f *fields) {
 	req, final, attempt, remark := f.u32(), f.u8(), f.u8(), f.u32()
 	code := f.u8()
 	f.skip(8)
@@ -259,18 +262,11 @@
 	if f.err != nil {
 		return
 	}
-	held := in.held[req]
-	if held == nil || !held.latest(attempt) || held.step.Kind == choice.Wait {
-		if load != nil {
-			in.alloc.Report(now, node, *load)
-		}
-		return
-	}
-	r := choice.Result{Kind: resultOf(code, held.landed), Over: final != 0, Load: load}
+	r := choice.Result{Kind: resultOf(code), Over: final != 0, Load: load}
 	if remark <= uint32(choice.SentAway) {
 		r.Reason = choice.Reason(remark)
 	}
-	h.advance(now, id, in, req, held, r)
+	in.engine.Settled(now, choice.WorkloadID(req), int(attempt), node, r)
 }
 
 // load reads a report, or returns nil where none came along.
@@ -305,64 +301,6 @@
 	code, node := f.u8(), choice.NodeID(f.u32())
 	load := in.load(f)
 	if f.err == nil {
-		in.alloc.Probed(now, node, code == 0, load)
-	}
-}
-
-func (h *host) wakeup(now choice.Millis, id uint16, in *instance, f *fields) {
-	token := f.u32()
-	if f.err != nil {
-		return
-	}
-	if token == upkeepToken {
-		h.chores(now, id, in)
-		return
-	}
-	req, ok := in.waits[token]
-	delete(in.waits, token)
-	if held := in.held[req]; ok && held != nil && held.token == token && held.step.Kind == choice.Wait {
-		h.advance(now, id, in, req, held, choice.Result{Kind: choice.Due})
-	}
-}
-
-func (h *host) advance(now choice.Millis, id uint16, in *instance, req uint32, held *held, r choice.Result) {
-	h.carryOut(now, id, in, req, held, held.step.Next(now, r))
-}
-
-// carryOut writes what a step asks for and keeps its continuation.
-func (h *host) carryOut(
-	now choice.Millis, id uint16, in *instance, req uint32, held *held, s choice.Step,
-) {
-	held.step = s
-	switch s.Kind {
-	case choice.Bind:
-		held.binds++
-		h.out.record(outBind, id, req, uint32(s.Node), nanos(s.Timeout))
-	case choice.Wait:
-		in.token++
-		held.token = in.token
-		in.waits[in.token] = req
-		h.out.record(outAlarm, id, nanos(max(s.Until, now)), in.token)
-	case choice.Rejected:
-		h.out.record(outPushBack, id, req, uint64(0))
-	case choice.Unschedulable:
-		h.out.record(outAbort, id, req)
-	}
-	if s.Next == nil {
-		delete(in.held, req)
-	}
-}
-
-func (h *host) chores(now choice.Millis, id uint16, in *instance) {
-	c := in.alloc.Upkeep(now)
-	if c.Watch {
-		h.out.record(outObserve, id, uint8(1))
-	}
-	for _, n := range c.Probes {
-		h.out.record(outTest, id, uint32(n))
-	}
-	for _, w := range c.Moves {
-		h.out.record(outTakeOff, id, uint32(w))
+		in.engine.Probed(now, node, code == 0, load)
 	}
-	h.out.record(outAlarm, id, nanos(c.Again), uint32(upkeepToken))
 }
