--- a/internal/allocator/engine.go
+++ b/internal/allocator/engine.go
@@ -7,11 +7,11 @@
 package allocator
 
 import (
-	"container/heap"
 	"slices"
 
 	"grebeglade/choice"
 	"grebeglade/internal/record"
+	"grebeglade/internal/schedule"
 )
 
 // clockGrain is how far apart two times may be and still be the same, in ms: clocks outside count
@@ -81,8 +81,7 @@
 	log      *record.Log
 	timesOut bool
 	held     map[choice.WorkloadID]*held
-	timers   timers
-	timerNo  uint64
+	timers   schedule.Queue[timer]
 	wake     choice.Millis // earliest wake-up asked for and not come, or 0
 	woken    bool          // whether wake holds
 }
@@ -280,14 +279,14 @@
 	if e.woken && e.wake <= now+clockGrain {
 		e.woken = false
 	}
-	for len(e.timers) > 0 && e.timers[0].at <= now+clockGrain {
-		t := heap.Pop(&e.timers).(timer)
+	for at, ok := e.timers.Next(); ok && at <= now+clockGrain; at, ok = e.timers.Next() {
+		_, no, t := e.timers.Take()
 		if t.chores {
 			e.chores(now)
 			continue
 		}
 		h := e.held[t.id]
-		if h == nil || h.timer != t.no {
+		if h == nil || h.timer != no {
 			continue
 		}
 		h.timer = 0
@@ -358,46 +357,26 @@
 		e.log.Add(record.Event{At: now, Kind: record.Stopped, Detail: uint8(Moved), Workload: id, Node: h.node})
 		e.world.Stop(id, h.binds-1, h.node, Moved, false)
 	}
-	e.timerNo++
-	heap.Push(&e.timers, timer{at: c.Again, no: e.timerNo, chores: true})
+	e.timers.Add(c.Again, timer{chores: true})
 }
 
 // after sets a timer for a workload and returns its number.
 func (e *Engine) after(at choice.Millis, id choice.WorkloadID) uint64 {
-	e.timerNo++
-	heap.Push(&e.timers, timer{at: at, no: e.timerNo, id: id})
-	return e.timerNo
+	return e.timers.Add(at, timer{id: id})
 }
 
 // ask sees to it that a wake-up comes by the time of the first timer.
 func (e *Engine) ask(now choice.Millis) {
-	if len(e.timers) == 0 || e.woken && e.wake <= e.timers[0].at {
+	at, ok := e.timers.Next()
+	if !ok || e.woken && e.wake <= at {
 		return
 	}
-	e.wake, e.woken = max(now, e.timers[0].at), true
+	e.wake, e.woken = max(now, at), true
 	e.world.Wake(e.wake)
 }
 
 // timer is one thing that comes due: chores, or the wait or time-out of a workload.
 type timer struct {
-	at     choice.Millis
-	no     uint64
 	id     choice.WorkloadID
 	chores bool
 }
-
-// timers is a heap, earliest first, equal times in the order in which they were set.
-type timers []timer
-
-func (t timers) Len() int { return len(t) }
-func (t timers) Less(i, j int) bool {
-	return t[i].at < t[j].at || t[i].at == t[j].at && t[i].no < t[j].no
-}
-func (t timers) Swap(i, j int) { t[i], t[j] = t[j], t[i] }
-func (t *timers) Push(x any)   { *t = append(*t, x.(timer)) }
-func (t *timers) Pop() any {
-	old := *t
-	x := old[len(old)-1]
-	*t = old[:len(old)-1]
-	return x
-}
--- /dev/null
+++ b/internal/lab/audit.go
@@ -0,0 +1,627 @@
+package lab
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+
+	"grebeglade/choice"
+	"grebeglade/internal/link"
+	pb "grebeglade/proto/grebeglade/v1"
+)
+
+// Terms are what the auditor holds a day to.
+type Terms struct {
+	Slack      choice.Millis // beyond the pending timeout within which an answer still counts
+	DrainGrace choice.Millis
+	Model      *NodeModel // for what cold nodes bear
+	Groups     map[string]choice.Group
+}
+
+// Broken is a rule that did not hold, with the frames that show it.
+type Broken struct {
+	Rule     int      `json:"rule"`
+	What     string   `json:"what"`
+	Workload uint64   `json:"workload,omitempty"` // its key
+	Node     uint32   `json:"node,omitempty"`
+	At       float64  `json:"at_ms"`
+	Frames   []string `json:"frames"`
+}
+
+const (
+	closeTo    = choice.Millis(1)    // ms; two readings of one time may differ by as much
+	nearStill  = choice.Millis(50)   // ms around a stand-still in which its effects fall
+	brokenMost = 100                 // breaks that are kept
+	shownMost  = 24                  // frames shown of one break
+	coldLooks  = choice.Millis(60e3) // ms for which arrivals at a cold node are kept
+)
+
+// Auditor decides the five rules from what passed between the parties, and from nothing else.
+type Auditor struct {
+	terms  Terms
+	allocs map[string]*allocatorSeen
+	conns  map[*Gate]map[link.ConnID]*connSeen
+	asks   map[askRef]*askSeen
+	order  []*askSeen
+	nodes  map[uint32]*nodeSeen
+	starts map[uint64][]bindKey // run-once workloads that started, by key
+	Broken []Broken
+	More   int // breaks beyond those kept
+	Offers int
+	Frames int
+}
+
+type askRef struct {
+	owner string
+	ask   uint64
+}
+
+// connSeen is who is at the other end, by its hello.
+type connSeen struct {
+	role pb.Role
+	name string
+	node uint32
+}
+
+type allocatorSeen struct {
+	name  string
+	still [][2]choice.Millis
+	told  map[uint32]*toldSeen
+	open  map[bindKey]*bindSeen // binds that have no end yet
+	epoch uint64                // of the list, and its revision
+	have  uint64
+}
+
+// toldSeen is what an allocator was told of a node.
+type toldSeen struct {
+	boot       uint64
+	gone       bool          // by the list
+	listGone   choice.Millis // since when the list calls it draining or gone; below 0: it does not
+	nodeDrains choice.Millis // likewise the node itself
+}
+
+type nodeSeen struct {
+	zone, cell string
+	boot       uint64
+	born       choice.Millis
+	arrivals   []arrival
+}
+
+type arrival struct {
+	at   choice.Millis
+	told bool
+	seen frameSeen
+}
+
+type askSeen struct {
+	ref       askRef
+	ask       *pb.Ask
+	alloc     string
+	deadline  choice.Millis
+	received  bool
+	withdrawn bool // the allocator was told
+	excused   bool // nobody owes an answer any more
+	answered  bool // at the owner
+	verdict   pb.Verdict
+	binds     []*bindSeen
+	frames    []frameSeen
+}
+
+type bindSeen struct {
+	key    bindKey
+	node   uint32
+	sent   choice.Millis
+	within choice.Millis
+	closed bool // answered, or its connection is gone
+	stands bool // the node said yes
+	never  bool // it is known not to have run
+	wl     *askSeen
+}
+
+// out tells whether an answer is still waited for.
+func (b *bindSeen) out(now choice.Millis) bool { return !b.closed && now < b.sent+b.within-closeTo }
+
+type frameSeen struct {
+	at  choice.Millis
+	who string
+	out bool
+	f   *pb.Frame
+}
+
+// NewAuditor makes an auditor that has seen nothing.
+func NewAuditor(t Terms) *Auditor {
+	return &Auditor{
+		terms: t, allocs: map[string]*allocatorSeen{}, conns: map[*Gate]map[link.ConnID]*connSeen{},
+		asks: map[askRef]*askSeen{}, nodes: map[uint32]*nodeSeen{}, starts: map[uint64][]bindKey{},
+	}
+}
+
+func (a *Auditor) breaks(rule int, now choice.Millis, node uint32, w *askSeen, what string, frames ...frameSeen) {
+	if len(a.Broken) >= brokenMost {
+		a.More++
+		return
+	}
+	b := Broken{Rule: rule, What: what, Node: node, At: float64(now)}
+	if w != nil {
+		b.Workload = w.ask.Key
+		frames = append(slices.Clone(w.frames), frames...)
+	}
+	for _, f := range frames[max(0, len(frames)-shownMost):] {
+		b.Frames = append(b.Frames, f.String())
+	}
+	a.Broken = append(a.Broken, b)
+}
+
+func (a *Auditor) allocator(name string) *allocatorSeen {
+	s := a.allocs[name]
+	if s == nil {
+		s = &allocatorSeen{name: name, told: map[uint32]*toldSeen{}, open: map[bindKey]*bindSeen{}}
+		a.allocs[name] = s
+	}
+	return s
+}
+
+func (a *Auditor) node(id uint32) *nodeSeen {
+	n := a.nodes[id]
+	if n == nil {
+		n = &nodeSeen{born: choice.LongAgo}
+		a.nodes[id] = n
+	}
+	return n
+}
+
+// Life forgets what a dead allocator was told, and excuses what it held.
+func (a *Auditor) Life(now choice.Millis, g *Gate, alive bool) {
+	if alive || g.Role != pb.Role_ALLOCATOR {
+		return
+	}
+	s := a.allocator(g.Name)
+	s.told, s.open = map[uint32]*toldSeen{}, map[bindKey]*bindSeen{}
+	for _, w := range a.order {
+		if w.alloc == g.Name && !w.answered {
+			w.excused = true
+		}
+	}
+}
+
+// Still notes for how long an allocator stands still.
+func (a *Auditor) Still(now choice.Millis, g *Gate, until choice.Millis) {
+	if g.Role == pb.Role_ALLOCATOR {
+		s := a.allocator(g.Name)
+		s.still = append(s.still, [2]choice.Millis{now, until})
+	}
+}
+
+// Conn takes the end of a connection: what was out over it may have run, what waited at it gets no answer.
+func (a *Auditor) Conn(now choice.Millis, g *Gate, c link.ConnID, open bool) {
+	if open {
+		return
+	}
+	peer := a.conns[g][c]
+	delete(a.conns[g], c)
+	switch {
+	case peer == nil:
+	case g.Role == pb.Role_ALLOCATOR && peer.role == pb.Role_NODE:
+		s := a.allocator(g.Name)
+		for _, b := range s.open {
+			if b.node == peer.node {
+				b.closed = true
+			}
+		}
+		a.told(s, peer.node).nodeDrains = -1
+		a.buryGone(g, s, peer.node)
+	case g.Role == pb.Role_OWNER:
+		for _, w := range a.order {
+			if w.ref.owner == g.Name && w.alloc == peer.name && !w.answered {
+				w.excused = true
+			}
+		}
+	}
+}
+
+// Frame takes one frame at one end.
+func (a *Auditor) Frame(now choice.Millis, g *Gate, c link.ConnID, out bool, f *pb.Frame) {
+	a.Frames++
+	if h := f.GetHello(); h != nil && !out {
+		if a.conns[g] == nil {
+			a.conns[g] = map[link.ConnID]*connSeen{}
+		}
+		a.conns[g][c] = &connSeen{role: h.Role, name: h.Name, node: h.Node}
+		if g.Role == pb.Role_ALLOCATOR && h.Role == pb.Role_NODE {
+			a.nodeGreets(now, a.allocator(g.Name), h)
+		}
+		return
+	}
+	seen := frameSeen{now, g.Name, out, f}
+	switch g.Role {
+	case pb.Role_OWNER:
+		a.atOwner(now, g, c, seen)
+	case pb.Role_ALLOCATOR:
+		a.atAllocator(now, g, c, seen)
+	case pb.Role_NODE:
+		a.atNode(now, g, seen)
+	}
+}
+
+// nodeGreets takes a node's account of what stands there: the rest has ended.
+func (a *Auditor) nodeGreets(now choice.Millis, s *allocatorSeen, h *pb.Hello) {
+	t := a.told(s, h.Node)
+	t.boot = max(t.boot, h.Incarnation)
+	if h.Draining {
+		t.nodeDrains = now
+	}
+	named := map[bindKey]bool{}
+	for _, o := range h.Standing {
+		named[keyOf(o.Offer.Bind)] = true
+	}
+	for k, b := range s.open {
+		if b.node == h.Node && !named[k] {
+			delete(s.open, k)
+		}
+	}
+}
+
+// buryGone ends what stood on a node that the list calls gone and that is not connected any more.
+func (a *Auditor) buryGone(g *Gate, s *allocatorSeen, node uint32) {
+	if t := a.told(s, node); !t.gone {
+		return
+	}
+	for _, c := range a.conns[g] {
+		if c.role == pb.Role_NODE && c.node == node {
+			return
+		}
+	}
+	for k, b := range s.open {
+		if b.node == node {
+			delete(s.open, k)
+		}
+	}
+}
+
+func (a *Auditor) atOwner(now choice.Millis, g *Gate, c link.ConnID, seen frameSeen) {
+	switch b := seen.f.Body.(type) {
+	case *pb.Frame_Ask:
+		w := &askSeen{
+			ref: askRef{g.Name, b.Ask.Ask}, ask: b.Ask, deadline: now + choice.Millis(b.Ask.LeftMs) + a.terms.Slack,
+		}
+		if peer := a.conns[g][c]; peer != nil {
+			w.alloc = peer.name
+		}
+		w.frames = append(w.frames, seen)
+		a.asks[w.ref] = w
+		a.order = append(a.order, w)
+	case *pb.Frame_Withdraw:
+		if w := a.asks[askRef{g.Name, b.Withdraw.Ask}]; w != nil && !w.answered {
+			w.frames = append(w.frames, seen)
+			a.unanswered(now+2*closeTo, w) // one that waits no longer withdraws as its time is up
+			w.excused = true
+		}
+	case *pb.Frame_Answer:
+		w := a.asks[askRef{g.Name, b.Answer.Ask}]
+		if w == nil {
+			a.breaks(1, now, 0, nil, "an answer for no ask", seen)
+			return
+		}
+		w.frames = append(w.frames, seen)
+		if w.answered {
+			a.breaks(1, now, 0, w, "a second answer")
+		}
+		a.unanswered(now, w)
+		w.answered = true
+	}
+}
+
+// unanswered tells on an ask that has no answer although its owner's time is up.
+func (a *Auditor) unanswered(now choice.Millis, w *askSeen) {
+	if w.excused || w.answered || !w.received || now <= w.deadline+closeTo {
+		return
+	}
+	for _, still := range a.allocator(w.alloc).still {
+		if w.deadline > still[0]-nearStill && w.deadline < still[1]+nearStill && now <= still[1]+nearStill {
+			return // an allocator that stands still answers as soon as it runs
+		}
+	}
+	a.breaks(1, now, 0, w, fmt.Sprintf("no answer within %.0f ms", w.ask.LeftMs))
+	w.excused = true
+}
+
+func (a *Auditor) told(s *allocatorSeen, node uint32) *toldSeen {
+	t := s.told[node]
+	if t == nil {
+		t = &toldSeen{listGone: -1, nodeDrains: -1}
+		s.told[node] = t
+	}
+	return t
+}
+
+func (a *Auditor) atAllocator(now choice.Millis, g *Gate, c link.ConnID, seen frameSeen) {
+	s := a.allocator(g.Name)
+	peer := a.conns[g][c]
+	if peer == nil {
+		peer = &connSeen{}
+	}
+	switch b := seen.f.Body.(type) {
+	case *pb.Frame_Ask:
+		if w := a.asks[askRef{peer.name, b.Ask.Ask}]; w != nil {
+			w.received, w.alloc = true, g.Name
+			w.frames = append(w.frames, seen)
+		}
+	case *pb.Frame_Withdraw:
+		if w := a.asks[askRef{peer.name, b.Withdraw.Ask}]; w != nil {
+			w.withdrawn = true
+			w.frames = append(w.frames, seen)
+		}
+	case *pb.Frame_Answer:
+		a.answers(now, a.asks[askRef{peer.name, b.Answer.Ask}], b.Answer, seen)
+	case *pb.Frame_ListUpdate:
+		a.listed(now, g, s, b.ListUpdate)
+	case *pb.Frame_Drain:
+		t := a.told(s, peer.node)
+		if !b.Drain.Draining {
+			t.nodeDrains = -1
+		} else if t.nodeDrains < 0 {
+			t.nodeDrains = now
+		}
+	case *pb.Frame_Offer:
+		a.offers(now, s, peer.node, b.Offer, seen)
+	case *pb.Frame_OfferAnswer:
+		if o := s.open[keyOf(b.OfferAnswer.Bind)]; o != nil {
+			o.wl.frames = append(o.wl.frames, seen)
+			o.closed, o.stands = true, b.OfferAnswer.Accepted
+			if !o.stands {
+				o.never = true
+				delete(s.open, o.key)
+			}
+		}
+	case *pb.Frame_End:
+		if o := s.open[keyOf(b.End.Bind)]; o != nil {
+			o.wl.frames = append(o.wl.frames, seen)
+			o.closed = true
+			delete(s.open, o.key)
+		}
+	}
+}
+
+// listed takes what the list tells an allocator; news older than what it has told before is none.
+func (a *Auditor) listed(now choice.Millis, g *Gate, s *allocatorSeen, u *pb.ListUpdate) {
+	whole := u.Kind == pb.ListUpdate_WHOLE
+	if u.Kind == pb.ListUpdate_FAILED || u.Epoch == s.epoch && u.Revision < s.have || u.Epoch != s.epoch && !whole {
+		return
+	}
+	s.epoch, s.have = u.Epoch, u.Revision
+	states, old := make(map[uint32]*pb.NodeEntry, len(u.Entries)), map[uint32]bool{}
+	for _, e := range u.Entries {
+		states[e.Id] = e
+		// What the list still says of an earlier life is no news to one that the node has told of its next.
+		if t := a.told(s, e.Id); e.Boot >= t.boot {
+			t.boot = e.Boot
+		} else {
+			delete(states, e.Id)
+			old[e.Id] = true
+		}
+	}
+	for id, t := range s.told {
+		e := states[id]
+		switch {
+		case e != nil && e.State == pb.NodeEntry_READY:
+			t.listGone, t.gone = -1, false
+		case e == nil && !whole, old[id]:
+		default:
+			if t.listGone < 0 {
+				t.listGone = now
+			}
+			t.gone = e == nil || e.State == pb.NodeEntry_GONE
+			if t.gone {
+				a.buryGone(g, s, id)
+			}
+		}
+	}
+}
+
+// answers checks an allocator's answer as it leaves.
+func (a *Auditor) answers(now choice.Millis, w *askSeen, v *pb.Answer, seen frameSeen) {
+	if w == nil {
+		a.breaks(1, now, 0, nil, "an answer for no ask", seen)
+		return
+	}
+	w.frames = append(w.frames, seen)
+	if w.verdict != 0 {
+		a.breaks(1, now, 0, w, "a second answer")
+	}
+	w.verdict = v.Verdict
+	g := a.terms.Groups[w.ask.Group]
+	if v.Verdict != pb.Verdict_REJECTED || g.Effect == choice.Restartable ||
+		g.Effect == choice.Deduplicated && g.DedupScope == choice.ScopeAll {
+		return
+	}
+	for _, b := range w.binds {
+		if !b.never {
+			a.breaks(2, now, b.node, w, "rejected although a bind may have run")
+			return
+		}
+	}
+}
+
+// offers checks an offer as it leaves.
+func (a *Auditor) offers(now choice.Millis, s *allocatorSeen, node uint32, o *pb.Offer, seen frameSeen) {
+	a.Offers++
+	w := a.asks[askRef{o.Owner, o.Ask.Ask}]
+	if w == nil {
+		a.breaks(1, now, node, nil, "an offer for no ask", seen)
+		return
+	}
+	w.frames = append(w.frames, seen)
+	g := a.terms.Groups[w.ask.Group]
+	switch {
+	case w.verdict != 0:
+		a.breaks(1, now, node, w, "an offer after the answer")
+	case w.withdrawn:
+		a.breaks(1, now, node, w, "an offer after the owner withdrew")
+	}
+	for _, b := range w.binds {
+		switch {
+		case b.never:
+		case b.key == keyOf(o.Bind):
+			a.breaks(2, now, node, w, "the same bind sent twice")
+		case b.out(now):
+			a.breaks(2, now, node, w, "two binds out at once")
+		case g.Effect == choice.RunOnce:
+			a.breaks(2, now, node, w, "a run-once workload sent again that may have run")
+		case g.Effect == choice.Deduplicated && (now-b.sent >= g.DedupWindow || !a.same(g.DedupScope, b.node, node)):
+			a.breaks(2, now, node, w, "a deduplicated workload sent beyond its scope or window")
+		}
+	}
+	t := a.told(s, node)
+	for _, since := range [2]choice.Millis{t.listGone, t.nodeDrains} {
+		if since >= 0 && now > since+a.terms.DrainGrace {
+			a.breaks(3, now, node, w, fmt.Sprintf("an offer %.0f ms after it was told that the node drains or is gone", now-since))
+			break
+		}
+	}
+	b := &bindSeen{key: keyOf(o.Bind), node: node, sent: now, within: choice.Millis(o.AcceptWithinMs), wl: w}
+	w.binds = append(w.binds, b)
+	s.open[b.key] = b
+	if g.Spread == choice.ScopeNone {
+		return
+	}
+	held := 0
+	for _, other := range s.open {
+		if (other.stands || other.out(now)) && other.wl.ask.Service == w.ask.Service && a.same(g.Spread, other.node, node) {
+			held++
+		}
+	}
+	if held > g.SpreadMost {
+		a.breaks(5, now, node, w, fmt.Sprintf("%d of the service in one %s where %d are allowed", held, place[g.Spread], g.SpreadMost))
+	}
+}
+
+var place = map[choice.Scope]string{choice.ScopeNode: "node", choice.ScopeCell: "cell", choice.ScopeZone: "zone"}
+
+// same tells whether two nodes lie in one place of that kind.
+func (a *Auditor) same(s choice.Scope, x, y uint32) bool {
+	m, n := a.node(x), a.node(y)
+	switch s {
+	case choice.ScopeNode:
+		return x == y
+	case choice.ScopeCell:
+		return m.zone == n.zone && m.cell == n.cell
+	case choice.ScopeZone:
+		return m.zone == n.zone
+	}
+	return s == choice.ScopeAll
+}
+
+func (a *Auditor) atNode(now choice.Millis, g *Gate, seen frameSeen) {
+	n := a.node(uint32(g.ID))
+	switch b := seen.f.Body.(type) {
+	case *pb.Frame_Register:
+		r := b.Register
+		n.zone, n.cell = r.Zone, r.Cell
+		if r.Boot != n.boot {
+			n.boot, n.born, n.arrivals = r.Boot, choice.LongAgo, nil
+			if r.UpForMs >= 0 {
+				n.born = now - choice.Millis(r.UpForMs)
+			}
+		}
+	case *pb.Frame_Offer:
+		if !seen.out {
+			a.arrives(now, uint32(g.ID), n, b.Offer, seen)
+		}
+	case *pb.Frame_Note:
+		if b.Note.Kind == pb.Note_RUNNING {
+			a.runs(now, uint32(g.ID), b.Note.Bind)
+		}
+	case *pb.Frame_OfferAnswer:
+		if b.OfferAnswer.Accepted && a.terms.Model.ConfirmsRunning {
+			a.runs(now, uint32(g.ID), b.OfferAnswer.Bind)
+		}
+	}
+}
+
+// arrives checks what reaches a cold node.
+func (a *Auditor) arrives(now choice.Millis, id uint32, n *nodeSeen, o *pb.Offer, seen frameSeen) {
+	m := a.terms.Model
+	up := now - n.born
+	if up >= m.ColdFor {
+		return
+	}
+	told := a.told(a.allocator(o.Bind.Allocator), id).boot == n.boot
+	n.arrivals = append(n.arrivals, arrival{now, told, seen})
+	n.arrivals = slices.DeleteFunc(n.arrivals, func(x arrival) bool { return x.at < now-coldLooks })
+	var window []frameSeen
+	knew := 0
+	for _, x := range n.arrivals {
+		if x.at >= now-m.OverloadFor {
+			window = append(window, x.seen)
+			if x.told {
+				knew++
+			}
+		}
+	}
+	pace := m.ColdFrom + (1-m.ColdFrom)*float64(up/m.ColdFor)
+	if bears := m.bears(pace); float64(len(window)) > bears && 3*knew >= 2*len(window) {
+		a.breaks(4, now, id, nil, fmt.Sprintf("%d offers within %.0f ms at a cold node that bears %.0f",
+			len(window), m.OverloadFor, bears), window...)
+		n.arrivals = nil
+	}
+}
+
+// runs checks that a run-once workload starts once.
+func (a *Auditor) runs(now choice.Millis, node uint32, b *pb.BindID) {
+	o := a.allocator(b.Allocator).open[keyOf(b)]
+	if o == nil || a.terms.Groups[o.wl.ask.Group].Effect != choice.RunOnce {
+		return
+	}
+	started := a.starts[o.wl.ask.Key]
+	if !slices.Contains(started, keyOf(b)) {
+		a.starts[o.wl.ask.Key] = append(started, keyOf(b))
+		if len(started) > 0 {
+			a.breaks(2, now, node, o.wl, "a run-once workload started twice")
+		}
+	}
+}
+
+// Finish tells on what is still unanswered when all is over.
+func (a *Auditor) Finish(now choice.Millis) {
+	for _, w := range a.order {
+		a.unanswered(now, w)
+	}
+	slices.SortStableFunc(a.Broken, func(x, y Broken) int {
+		return cmp.Or(cmp.Compare(x.At, y.At), cmp.Compare(x.Rule, y.Rule))
+	})
+}
+
+// String is a frame in a line: when, who, which way, what.
+func (s frameSeen) String() string {
+	way := "gets"
+	if s.out {
+		way = "sends"
+	}
+	return fmt.Sprintf("%.1f ms %s %s %s", float64(s.at), s.who, way, describe(s.f))
+}
+
+func describe(f *pb.Frame) string {
+	switch b := f.Body.(type) {
+	case *pb.Frame_Ask:
+		return fmt.Sprintf("ask %d (%s, key %d, %.0f ms left)", b.Ask.Ask, b.Ask.Group, b.Ask.Key, b.Ask.LeftMs)
+	case *pb.Frame_Withdraw:
+		return fmt.Sprintf("withdraw %d", b.Withdraw.Ask)
+	case *pb.Frame_Answer:
+		return fmt.Sprintf("answer %d %s node %d %q", b.Answer.Ask, b.Answer.Verdict, b.Answer.Node, b.Answer.Reason)
+	case *pb.Frame_Offer:
+		return fmt.Sprintf("offer of %s/%d, to be accepted within %.0f ms", bindText(b.Offer.Bind), b.Offer.Ask.Ask,
+			b.Offer.AcceptWithinMs)
+	case *pb.Frame_OfferAnswer:
+		if b.OfferAnswer.Accepted {
+			return "yes to " + bindText(b.OfferAnswer.Bind)
+		}
+		return fmt.Sprintf("no to %s: %s %q", bindText(b.OfferAnswer.Bind), b.OfferAnswer.Why, b.OfferAnswer.Text)
+	case *pb.Frame_End:
+		return fmt.Sprintf("end of %s: %s", bindText(b.End.Bind), b.End.Why)
+	}
+	return fmt.Sprintf("%T", f.Body)
+}
+
+func bindText(b *pb.BindID) string {
+	return fmt.Sprintf("%s.%d bind %d.%d", b.Allocator, b.Incarnation, b.Workload, b.Number)
+}
--- /dev/null
+++ b/internal/lab/day.go
@@ -0,0 +1,431 @@
+package lab
+
+import (
+	"encoding/binary"
+	"fmt"
+	"log/slog"
+	"math"
+	"math/rand/v2"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"grebeglade/choice"
+	"grebeglade/internal/link"
+	"grebeglade/internal/port"
+	pb "grebeglade/proto/grebeglade/v1"
+)
+
+const settleFor = choice.Millis(2e3) // ms after the last answer for what is still under way
+
+// Options are what a day is played with, besides its script.
+type Options struct {
+	Seed     uint64
+	Sabotage Sabotage // an engine that breaks a rule on purpose
+	Log      *slog.Logger
+}
+
+// Result is what came of a day. Every ask ends in one of Placed, Rejected, Unschedulable, Withdrawn (by its
+// owner, before an answer), Cut (its allocator or connection went) and Unanswered.
+type Result struct {
+	Name          string         `json:"name"`
+	About         string         `json:"about,omitempty"`
+	Seed          uint64         `json:"seed"`
+	Virtual       bool           `json:"virtual"`
+	Allocators    int            `json:"allocators"`
+	Nodes         int            `json:"nodes"`
+	Workloads     int            `json:"workloads"` // asks, those that came again too
+	Firsts        int            `json:"firsts"`
+	Placed        int            `json:"placed"`
+	Rejected      int            `json:"rejected"`
+	Unschedulable int            `json:"unschedulable"`
+	Withdrawn     int            `json:"withdrawn"`
+	Cut           int            `json:"cut"`
+	Unanswered    int            `json:"unanswered"`
+	Binds         uint64         `json:"binds"`
+	Moves         uint64         `json:"moves"`
+	Probes        uint64         `json:"probes"`
+	ListCalls     uint64         `json:"list_calls"`
+	Duplicates    uint64         `json:"duplicates"`
+	Stray         uint64         `json:"stray"`
+	Ended         map[string]int `json:"ended"`
+	WaitMedian    float64        `json:"wait_median_ms"` // from ask to yes
+	Wait99        float64        `json:"wait_p99_ms"`
+	Fell          int            `json:"fell"` // cold nodes pushed over
+	Frames        int            `json:"frames"`
+	DaySeconds    float64        `json:"day_seconds"`
+	RanSeconds    float64        `json:"ran_seconds"`
+	Digest        string         `json:"digest"`
+	Broken        []Broken       `json:"broken"`
+	MoreBroken    int            `json:"more_broken,omitempty"`
+}
+
+// Day is a script put together on a host.
+type Day struct {
+	script *Script
+	opts   Options
+	host   Host
+	w      Witness
+	rng    *rand.Rand
+
+	list   *Gate
+	nodes  []*Gate
+	specs  []*NodeSpec
+	allocs []*Gate
+	owners []*Gate
+	ports  [][]*port.Port // by allocator, one for each life
+	begins choice.Millis  // when owners begin: nodes and allocators know of each other by then
+	fell   chan struct{}  // one for each node that fell over
+}
+
+// Terms are what the script's day is audited by.
+func (s *Script) Terms() Terms {
+	t := Terms{Slack: s.Owner.Slack, DrainGrace: s.Drain, Model: &s.Node, Groups: map[string]choice.Group{}}
+	for i, name := range s.Groups {
+		t.Groups[name] = s.Settings.Groups[i]
+	}
+	return t
+}
+
+// NewDay brings the script's parties to the host and plans its faults.
+func NewDay(s *Script, o Options, host Host, w Witness, now choice.Millis) (*Day, error) {
+	d := &Day{
+		script: s, opts: o, host: host, w: w, rng: rand.New(rand.NewPCG(o.Seed, 77)), begins: now + 1500,
+		fell: make(chan struct{}, s.Nodes()*100+1),
+	}
+	if d.opts.Log == nil {
+		d.opts.Log = slog.New(slog.DiscardHandler)
+	}
+	if err := d.populate(); err != nil {
+		return nil, err
+	}
+	for i, f := range s.Faults {
+		d.rng = rand.New(rand.NewPCG(o.Seed, uint64(1000+i)))
+		d.plan(f)
+	}
+	return d, nil
+}
+
+func (d *Day) zone(i int) string { return d.script.Zones[i%len(d.script.Zones)] }
+
+func (d *Day) populate() error {
+	s := d.script
+	d.list = NewGate("list", pb.Role_LIST, 0, d.w, func(inc uint64) link.Party { return NewList(&s.List, inc) })
+	list, err := d.host.Add(d.list, d.zone(0))
+	if err != nil {
+		return err
+	}
+	for k, count := range s.Counts {
+		for range count {
+			i := len(d.specs)
+			d.specs = append(d.specs, &NodeSpec{
+				ID: uint32(hashOf(d.opts.Seed, uint64(i))%1_000_000)*1000 + uint32(i%1000) + 1, Kind: s.Kinds[k],
+				Cores: s.Settings.Kinds[k].Cores, Memory: s.Settings.Kinds[k].Memory, ListAddr: list,
+			})
+		}
+	}
+	// Kinds and halls are dealt out by chance, so that no hall is of one kind.
+	d.rng.Shuffle(len(d.specs), func(i, j int) { d.specs[i], d.specs[j] = d.specs[j], d.specs[i] })
+	for i, spec := range d.specs {
+		spec.Zone = d.zone(i)
+		spec.Cell = fmt.Sprintf("%s/%d", spec.Zone, i/len(s.Zones)/4)
+		if err := d.addNode(spec); err != nil {
+			return err
+		}
+	}
+	owner := s.Owner
+	for i := range s.Allocators {
+		g := d.allocator(i, list)
+		d.allocs = append(d.allocs, g)
+		addr, err := d.host.Add(g, d.zone(i))
+		if err != nil {
+			return err
+		}
+		owner.Allocators = append(owner.Allocators, addr)
+	}
+	owner.Groups, owner.From, owner.Until = s.Demand, d.begins, d.begins+s.Length
+	owner.Rate /= float64(s.Owners)
+	for i := range s.Owners {
+		name := fmt.Sprintf("owner-%d", i+1)
+		g := NewGate(name, pb.Role_OWNER, i, d.w, func(uint64) link.Party {
+			return NewOwner(name, i, &owner, d.opts.Seed)
+		})
+		d.owners = append(d.owners, g)
+		if _, err := d.host.Add(g, d.zone(i)); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (d *Day) addNode(spec *NodeSpec) error {
+	var g *Gate
+	g = NewGate(fmt.Sprintf("node-%d", spec.ID), pb.Role_NODE, int(spec.ID), d.w, func(boot uint64) link.Party {
+		n := NewNode(spec, &d.script.Node, boot)
+		n.Fell = func() {
+			d.fell <- struct{}{}
+			g.Kill(g.Now())
+		}
+		return n
+	})
+	d.nodes = append(d.nodes, g)
+	addr, err := d.host.Add(g, spec.Zone)
+	spec.Addr = addr
+	return err
+}
+
+func (d *Day) allocator(i int, list string) *Gate {
+	s := d.script
+	settings := s.Settings
+	settings.Allocators, settings.Ordinal = s.Allocators, i
+	if d.opts.Sabotage == SpreadBlind {
+		settings.Groups = slices.Clone(settings.Groups)
+		for g := range settings.Groups {
+			settings.Groups[g].Spread = choice.ScopeNone
+		}
+	}
+	name := fmt.Sprintf("allocator-%d", i+1)
+	d.ports = append(d.ports, nil)
+	return NewGate(name, pb.Role_ALLOCATOR, i, d.w, func(inc uint64) link.Party {
+		p := port.New(port.Config{
+			Name: name, Incarnation: inc, Seed: hashOf(d.opts.Seed, uint64(i)<<20|inc), Settings: settings,
+			Groups: s.Groups, Kinds: s.Kinds, Zone: d.zone(i), List: list, MostHeld: s.Limits.Workloads,
+			Log: d.opts.Log.With("allocator", name),
+		})
+		d.ports[i] = append(d.ports[i], p)
+		return d.opts.Sabotage.around(p)
+	})
+}
+
+// hashOf mixes two numbers into one that looks like chance.
+func hashOf(a, b uint64) uint64 {
+	var buf [16]byte
+	binary.LittleEndian.PutUint64(buf[:], a)
+	binary.LittleEndian.PutUint64(buf[8:], b)
+	return xxhash.Sum64(buf[:])
+}
+
+// Ends is when owners have stopped asking and the last answer is due.
+func (d *Day) Ends() choice.Millis {
+	last := choice.Millis(0)
+	for _, g := range d.script.Demand {
+		last = max(last, g.Pending)
+	}
+	return d.begins + d.script.Length + last + d.script.Owner.Slack + settleFor
+}
+
+// QuietAt is when owners have stopped asking.
+func (d *Day) QuietAt() choice.Millis { return d.begins + d.script.Length }
+
+// Open is the number of asks that wait for an answer. The owners' goroutines must not run meanwhile.
+func (d *Day) Open() (n int) {
+	for _, g := range d.owners {
+		if o, ok := g.Inner().(*Owner); ok {
+			n += o.Open()
+		}
+	}
+	return n
+}
+
+// Result sums the day up once all its parties have come to rest.
+func (d *Day) Result(a *Auditor) *Result {
+	s := d.script
+	r := &Result{
+		Name: s.Name, About: s.About, Seed: d.opts.Seed, Allocators: s.Allocators, Nodes: len(d.nodes),
+		Ended: map[string]int{}, Frames: a.Frames, Broken: a.Broken, MoreBroken: a.More, Fell: len(d.fell),
+		DaySeconds: float64(s.Length) / 1000,
+	}
+	if r.Broken == nil {
+		r.Broken = []Broken{}
+	}
+	var waits []float64
+	for _, g := range d.owners {
+		t := &g.Inner().(*Owner).Tally
+		r.Workloads += t.Asks
+		r.Firsts += t.Firsts
+		r.Placed += t.Placed
+		r.Rejected += t.Rejected
+		r.Unschedulable += t.Unschedulable
+		r.Withdrawn += t.Withdrawn
+		r.Cut += t.Cut
+		r.Unanswered += t.Unanswered
+		waits = append(waits, t.Waits...)
+		for why, n := range t.Ended {
+			r.Ended[why.String()] += n
+		}
+	}
+	slices.Sort(waits)
+	r.WaitMedian, r.Wait99 = percentile(waits, 0.5), percentile(waits, 0.99)
+	digest := xxhash.New()
+	for _, lives := range d.ports {
+		for _, p := range lives {
+			r.Binds += p.Counts.Binds
+			r.Moves += p.Counts.Moves
+			r.Probes += p.Counts.Probes
+			r.ListCalls += p.Counts.ListCalls
+			r.Duplicates += p.Counts.Duplicates
+			r.Stray += p.Counts.Stray
+			digest.Write(binary.LittleEndian.AppendUint64(nil, p.Record().Digest()))
+		}
+	}
+	r.Digest = fmt.Sprintf("%016x", digest.Sum64())
+	return r
+}
+
+// percentile is the value below which that share of sorted values lies, 0 of none.
+func percentile(sorted []float64, share float64) float64 {
+	if len(sorted) == 0 {
+		return 0
+	}
+	return sorted[min(len(sorted)-1, int(share*float64(len(sorted))))]
+}
+
+// plan has a fault happen at its time to those whom chance names.
+func (d *Day) plan(f Fault) {
+	at, until := d.begins+f.At, d.begins+f.At+f.For
+	switch f.Kind {
+	case "crash":
+		for _, g := range d.some(d.nodes, f.Part) {
+			d.host.Do(g, at, g.Kill)
+			d.host.Do(g, until, g.Restart)
+		}
+	case "allocator-death":
+		for _, g := range d.some(d.allocs, f.Part) {
+			d.host.Do(g, at, g.Kill)
+			d.host.Do(g, until, g.Restart)
+		}
+	case "stall":
+		d.stills(d.some(d.nodes, f.Part), f, at, until)
+	case "allocator-still":
+		d.stills(d.some(d.allocs, f.Part), f, at, until)
+	case "slow":
+		d.during(f, at, until, func(n *Node) { n.Slow = f.Size }, func(n *Node) { n.Slow = 1 })
+	case "throttle":
+		d.during(f, at, until, func(n *Node) { n.Throttled = f.Group }, func(n *Node) { n.Throttled = "" })
+	case "hot-service":
+		swell := Swelling{Part: f.Part, Times: f.Size}
+		f.Part = 1
+		d.during(f, at, until, func(n *Node) { n.Swells = swell }, func(n *Node) { n.Swells = Swelling{} })
+	case "overrun":
+		swell := Swelling{Group: f.Group, Part: f.Part, Times: f.Size}
+		f.Part = 1
+		d.during(f, at, until, func(n *Node) { n.Swells = swell }, func(n *Node) { n.Swells = Swelling{} })
+	case "neighbour":
+		for _, g := range d.some(d.nodes, f.Part) {
+			shift := f.Every * choice.Millis(d.rng.Float64())
+			for t := at + shift; t < until; t += 2 * f.Every {
+				d.onNode(g, t, func(_ choice.Millis, n *Node) { n.Neighbour = f.Size })
+				d.onNode(g, min(until, t+f.Every), func(_ choice.Millis, n *Node) { n.Neighbour = 0 })
+			}
+		}
+	case "forget":
+		for _, g := range d.some(d.nodes, f.Part) {
+			d.onNode(g, at, func(_ choice.Millis, n *Node) { n.Forget(f.Size) })
+		}
+	case "deploy":
+		d.waves(f, at, f.Wait, true)
+	case "preempt":
+		d.waves(f, at, f.For, false)
+	case "hall-cut":
+		for i, g := range d.nodes {
+			if d.specs[i].Zone == f.Zone {
+				d.host.Do(g, at, g.Cut)
+				d.host.Do(g, at+cutBreaks, g.BreakCut)
+				d.host.Do(g, until, g.Heal)
+			}
+		}
+	default:
+		d.planOutside(f, at, until)
+	}
+}
+
+// planOutside plans what happens to owners and the list.
+func (d *Day) planOutside(f Fault, at, until choice.Millis) {
+	owners := func(at choice.Millis, do func(now choice.Millis, o *Owner)) {
+		for _, g := range d.owners {
+			d.host.Do(g, at, func(now choice.Millis) {
+				if o, ok := g.Inner().(*Owner); ok {
+					do(now, o)
+				}
+			})
+		}
+	}
+	switch f.Kind {
+	case "burst":
+		owners(at, func(_ choice.Millis, o *Owner) { o.Burst = f.Size })
+		owners(until, func(_ choice.Millis, o *Owner) { o.Burst = 1 })
+	case "hot-allocator":
+		owners(at, func(_ choice.Millis, o *Owner) { o.HotFirst = f.Size })
+		owners(until, func(_ choice.Millis, o *Owner) { o.HotFirst = 0 })
+	case "reconnect":
+		owners(at, func(now choice.Millis, o *Owner) { o.Restart(now, f.Size, f.For) })
+	case "owner-disconnect":
+		for _, g := range d.some(d.owners, f.Part) {
+			d.host.Do(g, at, g.Cut)
+			d.host.Do(g, at+1, g.BreakCut)
+			d.host.Do(g, at+2, g.Heal)
+		}
+	case "list-overrun":
+		d.onList(at, func(l *List) { l.Slower, l.Later = f.Size, choice.Millis(f.Size)*50 })
+		d.onList(until, func(l *List) { l.Slower, l.Later = 1, 0 })
+	}
+}
+
+// some draws a part of them, at least one where the part is above nought.
+func (d *Day) some(of []*Gate, part float64) []*Gate {
+	drawn := slices.Clone(of)
+	d.rng.Shuffle(len(drawn), func(i, j int) { drawn[i], drawn[j] = drawn[j], drawn[i] })
+	return drawn[:min(len(drawn), int(math.Ceil(part*float64(len(drawn)))))]
+}
+
+// stills has each stand still again and again, not all at once.
+func (d *Day) stills(gates []*Gate, f Fault, at, until choice.Millis) {
+	for _, g := range gates {
+		for t := at + f.Every*choice.Millis(d.rng.Float64()); t < until; t += f.Every {
+			size := choice.Millis(f.Size)
+			d.host.Do(g, t, func(now choice.Millis) { g.Still(now, now+size) })
+			d.host.Do(g, t+size, g.Go)
+		}
+	}
+}
+
+func (d *Day) onNode(g *Gate, at choice.Millis, do func(now choice.Millis, n *Node)) {
+	d.host.Do(g, at, func(now choice.Millis) {
+		if n, ok := g.Inner().(*Node); ok {
+			do(now, n)
+		}
+	})
+}
+
+func (d *Day) during(f Fault, at, until choice.Millis, begin, end func(*Node)) {
+	for _, g := range d.some(d.nodes, f.Part) {
+		d.onNode(g, at, func(_ choice.Millis, n *Node) { begin(n) })
+		d.onNode(g, until, func(_ choice.Millis, n *Node) { end(n) })
+	}
+}
+
+// waves takes a part of the fleet away, some nodes at a time, and brings each back cold.
+func (d *Day) waves(f Fault, at, away choice.Millis, drained bool) {
+	nodes := d.some(d.nodes, f.Part)
+	batch := max(1, int(f.Size*float64(len(d.nodes))))
+	for i, g := range nodes {
+		t := at + choice.Millis(i/batch)*f.Every
+		if drained {
+			d.onNode(g, t, func(now choice.Millis, n *Node) { n.Drain(now, true) })
+			d.host.Do(g, t+away, g.Kill)
+			d.host.Do(g, t+away+300, g.Restart)
+		} else {
+			d.host.Do(g, t, g.Kill)
+			d.host.Do(g, t+away, g.Restart)
+		}
+	}
+}
+
+// onList changes how the machine list behaves.
+func (d *Day) onList(at choice.Millis, do func(*List)) {
+	d.host.Do(d.list, at, func(choice.Millis) {
+		if l, ok := d.list.Inner().(*List); ok {
+			do(l)
+		}
+	})
+}
--- /dev/null
+++ b/internal/lab/gate.go
@@ -0,0 +1,229 @@
+package lab
+
+import (
+	"maps"
+	"slices"
+
+	"grebeglade/choice"
+	"grebeglade/internal/link"
+	pb "grebeglade/proto/grebeglade/v1"
+)
+
+// cutBreaks is how long, in ms, a connection outlives a cut: about as long as keep-alives let one stand.
+const cutBreaks = choice.Millis(3e3)
+
+// Witness sees what passes between a party and its connections, and nothing of what goes on inside it.
+type Witness interface {
+	// Frame is called when a party sends a frame (out), or is handed one.
+	Frame(now choice.Millis, g *Gate, c link.ConnID, out bool, f *pb.Frame)
+	// Conn is called when a connection opens or closes.
+	Conn(now choice.Millis, g *Gate, c link.ConnID, open bool)
+	// Life is called when a party's process starts or dies.
+	Life(now choice.Millis, g *Gate, alive bool)
+	// Still is called when a party's process stands still until then.
+	Still(now choice.Millis, g *Gate, until choice.Millis)
+}
+
+// Gate stands between a party and its net. It is where a party's process dies, stands still or is cut off,
+// and where the witness looks on. Everything is called on the party's goroutine.
+type Gate struct {
+	Name string
+	Role pb.Role
+	ID   int // number within its role
+
+	make    func(incarnation uint64) link.Party
+	witness Witness
+
+	net         link.Net
+	inner       link.Party // nil while dead
+	incarnation uint64
+	conns       map[link.ConnID]bool
+	still       bool
+	cut         bool
+	cutNo       int
+	waiting     []func(now choice.Millis) // what a party that stands still has not been handed
+	heldOut     []heldFrame               // what has not left a party that is cut off
+	heldIn      []heldFrame
+}
+
+type heldFrame struct {
+	c link.ConnID
+	f *pb.Frame
+}
+
+// NewGate makes a gate in front of what make returns; make is called again at each start of the process.
+func NewGate(name string, role pb.Role, id int, w Witness, make func(uint64) link.Party) *Gate {
+	return &Gate{Name: name, Role: role, ID: id, make: make, witness: w, conns: map[link.ConnID]bool{}}
+}
+
+// Inner is the party as it lives now, nil while it is dead.
+func (g *Gate) Inner() link.Party { return g.inner }
+
+// Alive tells whether the process runs.
+func (g *Gate) Alive() bool { return g.inner != nil }
+
+func (g *Gate) Start(now choice.Millis, net link.Net) {
+	g.net = net
+	g.Restart(now)
+}
+
+// Restart starts the process anew, unless it runs.
+func (g *Gate) Restart(now choice.Millis) {
+	if g.inner != nil {
+		return
+	}
+	g.incarnation++
+	g.inner = g.make(g.incarnation)
+	g.witness.Life(now, g, true)
+	g.inner.Start(now, g)
+}
+
+// Kill ends the process outright: its connections break and all that it knew is gone.
+func (g *Gate) Kill(now choice.Millis) {
+	if g.inner == nil {
+		return
+	}
+	g.witness.Life(now, g, false)
+	g.inner, g.waiting, g.heldOut, g.heldIn = nil, nil, nil, nil
+	g.breakAll(now)
+}
+
+// breakAll closes every connection towards the peers.
+func (g *Gate) breakAll(now choice.Millis) []link.ConnID {
+	all := slices.Sorted(maps.Keys(g.conns))
+	for _, c := range all {
+		g.net.Close(c)
+		g.witness.Conn(now, g, c, false)
+	}
+	clear(g.conns)
+	return all
+}
+
+// Still has the process stand still: what comes waits until Go is called.
+func (g *Gate) Still(now, until choice.Millis) {
+	if g.inner != nil {
+		g.still = true
+		g.witness.Still(now, g, until)
+	}
+}
+
+// Go lets a process that stands still run on.
+func (g *Gate) Go(now choice.Millis) {
+	g.still = false
+	waiting := g.waiting
+	g.waiting = nil
+	for _, call := range waiting {
+		if g.inner != nil {
+			call(now)
+		}
+	}
+}
+
+// Cut cuts the party off from everyone: frames wait on both sides, and connections break if it lasts.
+func (g *Gate) Cut(choice.Millis) { g.cut, g.cutNo = true, g.cutNo+1 }
+
+// BreakCut ends the connections that have been cut off for too long. It is due cutBreaks after Cut.
+func (g *Gate) BreakCut(now choice.Millis) {
+	if !g.cut {
+		return
+	}
+	g.heldOut, g.heldIn = nil, nil
+	for _, c := range g.breakAll(now) {
+		g.run(now, func(now choice.Millis) { g.inner.Closed(now, c, "timed out") })
+	}
+}
+
+// Heal ends the cut.
+func (g *Gate) Heal(now choice.Millis) {
+	g.cut = false
+	out, in := g.heldOut, g.heldIn
+	g.heldOut, g.heldIn = nil, nil
+	for _, h := range out {
+		g.Send(h.c, h.f)
+	}
+	for _, h := range in {
+		g.Received(now, h.c, h.f)
+	}
+}
+
+// run hands something to the party, now or when it runs again.
+func (g *Gate) run(now choice.Millis, call func(now choice.Millis)) {
+	if g.still {
+		g.waiting = append(g.waiting, call)
+	} else if g.inner != nil {
+		call(now)
+	}
+}
+
+func (g *Gate) Opened(now choice.Millis, c link.ConnID) {
+	if g.inner == nil || g.cut {
+		g.net.Close(c)
+		if g.conns[c] { // dialled by us: the party must hear that it came to nothing
+			delete(g.conns, c)
+			g.run(now, func(now choice.Millis) { g.inner.Closed(now, c, "cut off") })
+		}
+		return
+	}
+	g.conns[c] = true
+	g.witness.Conn(now, g, c, true)
+	g.run(now, func(now choice.Millis) { g.inner.Opened(now, c) })
+}
+
+func (g *Gate) Received(now choice.Millis, c link.ConnID, f *pb.Frame) {
+	switch {
+	case !g.conns[c]:
+	case g.cut:
+		g.heldIn = append(g.heldIn, heldFrame{c, f})
+	default:
+		g.run(now, func(now choice.Millis) {
+			g.witness.Frame(now, g, c, false, f)
+			g.inner.Received(now, c, f)
+		})
+	}
+}
+
+func (g *Gate) Closed(now choice.Millis, c link.ConnID, why string) {
+	if !g.conns[c] {
+		return
+	}
+	delete(g.conns, c)
+	g.run(now, func(now choice.Millis) {
+		g.witness.Conn(now, g, c, false)
+		g.inner.Closed(now, c, why)
+	})
+}
+
+func (g *Gate) Wake(now choice.Millis) {
+	g.run(now, func(now choice.Millis) { g.inner.Wake(now) })
+}
+
+// Dial is the party's: so are Send, Close and WakeAt.
+func (g *Gate) Dial(addr string) link.ConnID {
+	c := g.net.Dial(addr)
+	g.conns[c] = true
+	return c
+}
+
+func (g *Gate) Send(c link.ConnID, f *pb.Frame) {
+	if !g.conns[c] {
+		return
+	}
+	if g.cut {
+		g.heldOut = append(g.heldOut, heldFrame{c, f})
+		return
+	}
+	g.net.Send(c, f)
+	g.witness.Frame(g.net.Now(), g, c, true, f)
+}
+
+func (g *Gate) Close(c link.ConnID) {
+	if g.conns[c] {
+		delete(g.conns, c)
+		g.witness.Conn(g.net.Now(), g, c, false)
+		g.net.Close(c)
+	}
+}
+
+func (g *Gate) WakeAt(t choice.Millis) { g.net.WakeAt(t) }
+
+func (g *Gate) Now() choice.Millis { return g.net.Now() }
--- /dev/null
+++ b/internal/lab/list.go
@@ -0,0 +1,237 @@
+package lab
+
+import (
+	"maps"
+	"math"
+	"slices"
+
+	"grebeglade/choice"
+	"grebeglade/internal/link"
+	pb "grebeglade/proto/grebeglade/v1"
+)
+
+// callLines is the fixed cost of a call to the list, in lines.
+const callLines = 40
+
+// ListModel is how the machine list of a day behaves.
+type ListModel struct {
+	Ask         bool          // it answers only when asked; else it pushes changes to all
+	Lag         choice.Millis // news is so old when the list knows it
+	Every       choice.Millis // between pushes
+	Notice      choice.Millis // until a node that is not heard of counts as gone
+	LinesPerSec float64       // that it can send, where it is asked; 0 for no limit
+	CallTimeout choice.Millis // a call that waits longer fails
+}
+
+// List is a stand-in for the machine list: nodes tell it of themselves, allocators read it.
+type List struct {
+	model  *ListModel
+	epoch  uint64
+	net    link.Net
+	timers link.Timers
+
+	entries  map[uint32]*listed
+	revision uint64
+	readers  map[link.ConnID]*reader
+	nodes    map[link.ConnID]uint32
+	calls    []call
+	busy     bool
+	Slower   float64 // times fewer lines a second, while a fault lasts
+	Later    choice.Millis
+}
+
+type listed struct {
+	pb.NodeEntry
+	since    choice.Millis // when up_for_ms was told
+	revision uint64
+	conn     link.ConnID
+}
+
+type reader struct {
+	hello    bool
+	watching bool
+	have     uint64
+}
+
+type call struct {
+	from link.ConnID
+	c    *pb.ListCall
+	at   choice.Millis
+}
+
+// NewList makes a list that knows no node yet.
+func NewList(m *ListModel, epoch uint64) *List {
+	return &List{
+		model: m, epoch: epoch, entries: map[uint32]*listed{}, readers: map[link.ConnID]*reader{},
+		nodes: map[link.ConnID]uint32{}, Slower: 1,
+	}
+}
+
+func (l *List) Start(now choice.Millis, net link.Net) {
+	l.net = net
+	l.timers.At(now+l.model.Every, l.push)
+	l.wake()
+}
+
+func (l *List) wake() {
+	if at, ok := l.timers.Next(); ok {
+		l.net.WakeAt(at)
+	}
+}
+
+func (l *List) Wake(now choice.Millis) {
+	l.timers.Run(now)
+	l.wake()
+}
+
+func (l *List) Opened(now choice.Millis, c link.ConnID) { l.readers[c] = &reader{} }
+
+func (l *List) Closed(now choice.Millis, c link.ConnID, _ string) {
+	delete(l.readers, c)
+	if id, ok := l.nodes[c]; ok {
+		delete(l.nodes, c)
+		l.timers.At(now+l.model.Notice, func(now choice.Millis) {
+			if e := l.entries[id]; e != nil && e.conn == c {
+				l.change(e, func() { e.State = pb.NodeEntry_GONE })
+			}
+		})
+	}
+	l.wake()
+}
+
+func (l *List) Received(now choice.Millis, c link.ConnID, f *pb.Frame) {
+	r := l.readers[c]
+	switch {
+	case r == nil:
+	case !r.hello:
+		l.greet(now, c, r, f)
+	case f.GetRegister() != nil:
+		e := f.GetRegister()
+		l.timers.At(now+l.model.Lag+l.Later, func(choice.Millis) { l.register(now, c, e) })
+	case f.GetListCall() != nil:
+		l.calls = append(l.calls, call{c, f.GetListCall(), now})
+		l.serve(now)
+	}
+	l.wake()
+}
+
+func (l *List) greet(now choice.Millis, c link.ConnID, r *reader, f *pb.Frame) {
+	h, refusal := link.CheckHello(f)
+	switch {
+	case refusal != "":
+		l.net.Send(c, link.Refuse(refusal))
+		l.net.Close(c)
+		delete(l.readers, c)
+	case h.Role == pb.Role_NODE:
+		r.hello = true
+		l.nodes[c] = h.Node
+	default:
+		r.hello = true
+		l.net.Send(c, link.Hello(&pb.Hello{Role: pb.Role_LIST, Name: "list", Incarnation: l.epoch}))
+		if !l.model.Ask {
+			r.watching, r.have = true, l.revision
+			l.net.Send(c, l.update(now, pb.ListUpdate_WHOLE, 0))
+		}
+	}
+}
+
+func (l *List) change(e *listed, how func()) {
+	how()
+	l.revision++
+	e.revision = l.revision
+}
+
+// register takes what a node said of itself at that time.
+func (l *List) register(at choice.Millis, c link.ConnID, said *pb.NodeEntry) {
+	e := l.entries[said.Id]
+	if e == nil {
+		e = &listed{}
+		l.entries[said.Id] = e
+	}
+	if said.Boot < e.Boot || e.Id != 0 && e.Boot == said.Boot && e.conn == c && e.State == said.State &&
+		e.FreeCores == said.FreeCores && e.FreeMemory == said.FreeMemory {
+		return
+	}
+	l.change(e, func() {
+		e.Id, e.State, e.Kind, e.Zone, e.Cell = said.Id, said.State, said.Kind, said.Zone, said.Cell
+		e.Boot, e.UpForMs, e.Address = said.Boot, said.UpForMs, said.Address
+		e.FreeCores, e.FreeMemory = said.FreeCores, said.FreeMemory
+		e.since, e.conn = at, c
+	})
+}
+
+// update is what changed after a revision, or all that is not gone.
+func (l *List) update(now choice.Millis, k pb.ListUpdate_Kind, after uint64) *pb.Frame {
+	u := &pb.ListUpdate{Kind: k, Epoch: l.epoch, Revision: l.revision}
+	for _, id := range slices.Sorted(maps.Keys(l.entries)) {
+		e := l.entries[id]
+		if e.revision <= after || k == pb.ListUpdate_WHOLE && e.State == pb.NodeEntry_GONE {
+			continue
+		}
+		up := e.UpForMs
+		if up >= 0 {
+			up += float64(now - e.since)
+		}
+		u.Entries = append(u.Entries, &pb.NodeEntry{
+			Id: e.Id, State: e.State, Kind: e.Kind, Zone: e.Zone, Cell: e.Cell, Boot: e.Boot, UpForMs: up,
+			FreeCores: e.FreeCores, FreeMemory: e.FreeMemory, Address: e.Address,
+		})
+	}
+	return &pb.Frame{Body: &pb.Frame_ListUpdate{ListUpdate: u}}
+}
+
+// push sends each watcher what it has not been sent; those that hold the same revision get the same frame.
+func (l *List) push(now choice.Millis) {
+	frames := map[uint64]*pb.Frame{}
+	for _, c := range slices.Sorted(maps.Keys(l.readers)) {
+		r := l.readers[c]
+		if !r.watching || r.have == l.revision {
+			continue
+		}
+		if frames[r.have] == nil {
+			frames[r.have] = l.update(now, pb.ListUpdate_CHANGES, r.have)
+		}
+		l.net.Send(c, frames[r.have])
+		r.have = l.revision
+	}
+	l.timers.At(now+l.model.Every, l.push)
+}
+
+// serve answers calls in turn, as fast as the list can.
+func (l *List) serve(now choice.Millis) {
+	if l.busy || len(l.calls) == 0 {
+		return
+	}
+	c := l.calls[0]
+	l.calls = l.calls[1:]
+	r := l.readers[c.from]
+	if r == nil {
+		l.serve(now)
+		return
+	}
+	if now-c.at > l.model.CallTimeout {
+		l.net.Send(c.from, &pb.Frame{Body: &pb.Frame_ListUpdate{ListUpdate: &pb.ListUpdate{
+			Kind: pb.ListUpdate_FAILED, Epoch: l.epoch, Reason: "the list is overrun",
+		}}})
+		l.serve(now)
+		return
+	}
+	kind, after := pb.ListUpdate_CHANGES, c.c.Have
+	if c.c.Epoch != l.epoch || !c.c.Watch || after > l.revision {
+		kind, after = pb.ListUpdate_WHOLE, 0
+	}
+	f := l.update(now, kind, after)
+	took := choice.Millis(0)
+	if l.model.LinesPerSec > 0 {
+		took = choice.Millis(math.Ceil(float64(callLines+len(f.GetListUpdate().Entries)) / l.model.LinesPerSec * 1000 * l.Slower))
+	}
+	if c.c.Watch {
+		r.watching, r.have = true, l.revision
+	}
+	l.busy = true
+	l.timers.At(now+took, func(now choice.Millis) {
+		l.busy = false
+		l.net.Send(c.from, f)
+		l.serve(now)
+	})
+}
--- /dev/null
+++ b/internal/lab/script.go
@@ -0,0 +1,286 @@
+package lab
+
+import (
+	"embed"
+	"fmt"
+	"os"
+	"path"
+	"slices"
+	"strings"
+
+	"grebeglade/choice"
+	"grebeglade/config"
+)
+
+//go:embed scripts/*.hcl
+var scripts embed.FS
+
+// Script is a day: a fleet, what is asked of it, and what goes wrong.
+type Script struct {
+	Name       string
+	About      string
+	Length     choice.Millis // owners ask until then
+	Allocators int
+	Owners     int
+	Zones      []string
+	Settings   choice.Settings
+	Groups     []string
+	Kinds      []string
+	Counts     []int // nodes of each kind
+	Demand     []Demand
+	Node       NodeModel
+	List       ListModel
+	Owner      OwnerModel
+	Drain      choice.Millis // grace of the third rule
+	Faults     []Fault
+	Limits     config.Limits
+}
+
+// Fault is one thing that goes wrong.
+type Fault struct {
+	Kind  string
+	At    choice.Millis
+	For   choice.Millis
+	Every choice.Millis
+	Part  float64 // of those that it may hit
+	Size  float64
+	Group string
+	Zone  string
+	Wait  choice.Millis // between a drain and the end
+}
+
+// faultKinds are the faults with what they take besides at, for and part: their sizes by default, in the
+// unit that the word in front says.
+var faultKinds = map[string]struct {
+	size, least, most float64
+	every             choice.Millis
+}{
+	"crash":            {},
+	"slow":             {size: 5, least: 1, most: 1000},
+	"stall":            {size: 300, least: 1, most: 60e3, every: 2e3},
+	"neighbour":        {size: 0.5, least: 0, most: 1, every: 3e3},
+	"burst":            {size: 2, least: 0, most: 100},
+	"hot-service":      {size: 2.5, least: 1, most: 100},
+	"overrun":          {size: 4, least: 1, most: 100},
+	"deploy":           {size: 0.15, least: 0.001, most: 1, every: 3e3},
+	"forget":           {size: 0.8, least: 0, most: 1},
+	"reconnect":        {size: 0.4, least: 0, most: 1},
+	"allocator-still":  {size: 1200, least: 1, most: 60e3, every: 4e3},
+	"allocator-death":  {},
+	"throttle":         {},
+	"preempt":          {size: 0.1, least: 0.001, most: 1, every: 2e3},
+	"hall-cut":         {},
+	"list-overrun":     {size: 8, least: 1, most: 1000},
+	"hot-allocator":    {size: 0.5, least: 0, most: 1},
+	"owner-disconnect": {},
+}
+
+// Names are the scripts that come with the program, in order.
+func Names() []string {
+	entries, err := scripts.ReadDir("scripts")
+	if err != nil {
+		return nil
+	}
+	var names []string
+	for _, e := range entries {
+		names = append(names, strings.TrimSuffix(e.Name(), ".hcl"))
+	}
+	return names
+}
+
+// Open reads a script by name, or from a file.
+func Open(nameOrFile string) (*Script, error) {
+	if slices.Contains(Names(), nameOrFile) {
+		src, err := scripts.ReadFile("scripts/" + nameOrFile + ".hcl")
+		if err != nil {
+			return nil, err
+		}
+		return DecodeScript(nameOrFile+".hcl", src)
+	}
+	src, err := os.ReadFile(nameOrFile)
+	if os.IsNotExist(err) && !strings.ContainsAny(nameOrFile, "./") {
+		return nil, fmt.Errorf("no script is named %q; known are %s", nameOrFile, strings.Join(Names(), ", "))
+	}
+	if err != nil {
+		return nil, err
+	}
+	return DecodeScript(nameOrFile, src)
+}
+
+// DecodeScript reads a script's text.
+func DecodeScript(file string, src []byte) (*Script, error) {
+	b, err := config.Parse(file, src)
+	if err != nil {
+		return nil, err
+	}
+	s := &Script{
+		Name:       strings.TrimSuffix(path.Base(file), ".hcl"),
+		About:      b.Text("about", ""),
+		Length:     b.Time("length", 20e3),
+		Allocators: b.Count("allocators", 2, 1, 5000),
+		Owners:     b.Count("owners", 2, 1, 1000),
+		Zones:      b.Texts("zones", []string{"hall-a", "hall-b"}),
+		Limits:     config.ReadLimits(b.Block("limits")),
+	}
+	if s.Length <= 0 {
+		b.Problem("length", "the day has no length", `write one such as length = "20s"`)
+	}
+	if len(s.Zones) == 0 {
+		b.Problem("zones", "zones is empty", `write at least one, such as ["hall-a"]`)
+	}
+	config.ReadShared(b, &s.Settings, &s.Kinds, &s.Groups)
+	for _, k := range b.Blocks("kind") {
+		s.Counts = append(s.Counts, k.Count("count", 4, 0, 100000))
+	}
+	s.readLoad(b)
+	s.readModels(b)
+	for _, f := range b.Named("fault") {
+		s.readFault(f)
+	}
+	return s, b.Done()
+}
+
+func (s *Script) readLoad(b *config.Block) {
+	load := b.Block("load")
+	s.Owner = OwnerModel{
+		Rate:      load.Number("rate", 14, 0, 1e5),
+		Again:     load.Time("again", 1500),
+		Tries:     load.Count("tries", 6, 1, 100),
+		Slack:     load.Time("slack", 8),
+		Withdraws: load.Number("withdraws", 0.02, 0, 1),
+	}
+	s.Node.Groups = map[string]*GroupModel{}
+	total := 0.0
+	groups := b.Blocks("group")
+	for i, g := range groups {
+		if i >= len(s.Settings.Groups) {
+			break
+		}
+		d := Demand{
+			Name: g.Name, Share: g.Number("share", 1, 0, 1e6), Life: g.Time("life", 10e3),
+			Shapes:  g.Pairs("shapes", [][2]float64{{0.5, 1}, {1, 2}}),
+			Pending: g.Time("pending", 6e3), Services: g.Count("services", 12, 1, 100000),
+			Effect: s.Settings.Groups[i].Effect, DedupAll: s.Settings.Groups[i].DedupScope == choice.ScopeAll,
+		}
+		if len(d.Shapes) == 0 {
+			g.Problem("shapes", "shapes is empty", "write pairs of cores and memory such as [[0.5, 1]]")
+		}
+		total += d.Share
+		s.Demand = append(s.Demand, d)
+		s.Node.Groups[g.Name] = &GroupModel{
+			Work: g.Time("work", 60), Cores: g.Number("cores_used", 0.5, 0, 10),
+			Memory: g.Number("memory_used", 0.7, 0, 10), Rank: g.Count("rank", 0, 0, 100),
+		}
+	}
+	for i := range s.Demand {
+		s.Demand[i].Share /= max(total, 1e-9)
+	}
+}
+
+func (s *Script) readModels(b *config.Block) {
+	rules := b.Block("rules")
+	s.Drain = rules.Time("drain_grace", 1e3)
+	n := b.Block("node")
+	m := &s.Node
+	m.OverCores = n.Number("over_cores", 2.5, 0.1, 100)
+	m.OverMemory = n.Number("over_memory", 1.5, 0.1, 100)
+	m.Admit = n.Time("admit", 15)
+	m.Line = n.Count("line", 16, 1, 1e6)
+	m.Starts = n.Count("starts", 3, 1, 1e6)
+	m.Setup = n.Number("setup", 8, 1, 1000)
+	m.Kept = n.Count("kept", 8, 0, 1e6)
+	m.ReportEvery = n.Time("report_every", 250)
+	m.Away = n.Word("drained", "keeps", "keeps", "paced", "at-once")
+	m.TellsDrain = n.Flag("tells_drain", true)
+	m.Overload = rules.Number("overload", 3, 1, 100)
+	m.ConfirmsRunning = s.Settings.ConfirmsRunning
+	m.ColdFrom, m.ColdFor = s.Settings.ColdFrom, s.Settings.ColdFor
+	m.ColdBears, m.OverloadFor = s.Settings.ColdBears, s.Settings.OverloadFor
+	if m.ReportEvery < 10 {
+		n.Problem("report_every", "report_every is under 10ms", `write a longer one, such as "250ms"`)
+	}
+	l := b.Block("list")
+	s.List = ListModel{
+		Ask: s.Settings.MustAsk, Lag: l.Time("lag", 500), Every: l.Time("every", 250),
+		Notice: l.Time("notice", 2e3), LinesPerSec: l.Number("lines_per_second", 0, 0, 1e9),
+		CallTimeout: l.Time("call_timeout", 2e3),
+	}
+	if s.List.Every < 10 {
+		l.Problem("every", "every is under 10ms", `write a longer one, such as "250ms"`)
+	}
+}
+
+func (s *Script) readFault(b *config.Block) {
+	kind := b.Name
+	if k := b.Text("kind", ""); k != "" {
+		kind = k
+	}
+	known, ok := faultKinds[kind]
+	if !ok {
+		names := make([]string, 0, len(faultKinds))
+		for k := range faultKinds {
+			names = append(names, k)
+		}
+		slices.Sort(names)
+		b.Problem("kind", fmt.Sprintf("a fault of kind %q is not known", kind),
+			"give it the name of a kind, or a kind = of "+strings.Join(names, ", "))
+	}
+	f := Fault{
+		Kind: kind, At: b.Time("at", s.Length/3), For: b.Time("for", 5e3), Every: b.Time("every", known.every),
+		Part: b.Number("part", 0.25, 0, 1), Size: b.Number("size", known.size, known.least, max(known.most, known.size)),
+		Group: b.Text("group", ""), Zone: b.Text("zone", ""), Wait: b.Time("drain", 3e3),
+	}
+	if known.every > 0 && f.Every <= 0 {
+		b.Problem("every", "every is no time", `write one such as "2s"`)
+	}
+	if f.Group != "" && !slices.Contains(s.Groups, f.Group) {
+		b.Problem("group", fmt.Sprintf("group %q is not known", f.Group), fmt.Sprintf("write one of %q", s.Groups))
+	}
+	if kind == "throttle" && f.Group == "" {
+		f.Group = firstOf(s.Groups)
+	}
+	if f.Zone != "" && !slices.Contains(s.Zones, f.Zone) {
+		b.Problem("zone", fmt.Sprintf("zone %q is not known", f.Zone), fmt.Sprintf("write one of %q", s.Zones))
+	}
+	if kind == "hall-cut" && f.Zone == "" && len(s.Zones) > 0 {
+		f.Zone = s.Zones[len(s.Zones)-1]
+	}
+	s.Faults = append(s.Faults, f)
+}
+
+// Nodes is the number of nodes of the day.
+func (s *Script) Nodes() (n int) {
+	for _, c := range s.Counts {
+		n += c
+	}
+	return n
+}
+
+// Resize has the day played with other numbers of allocators and nodes, 0 to leave one. Load and the faults'
+// reach follow the nodes.
+func (s *Script) Resize(allocators, nodes int) {
+	if allocators > 0 {
+		s.Allocators = allocators
+	}
+	before := s.Nodes()
+	if nodes <= 0 || before == 0 {
+		return
+	}
+	left := nodes
+	for i := range s.Counts {
+		s.Counts[i] = s.Counts[i] * nodes / before
+		left -= s.Counts[i]
+	}
+	s.Counts[0] += left
+	s.Owner.Rate *= float64(nodes) / float64(before)
+	for i := range s.Demand {
+		s.Demand[i].Services = max(1, s.Demand[i].Services*nodes/before)
+	}
+}
+
+func firstOf(names []string) string {
+	if len(names) == 0 {
+		return ""
+	}
+	return names[0]
+}
--- /dev/null
+++ b/internal/lab/virtual.go
@@ -0,0 +1,206 @@
+package lab
+
+import (
+	"fmt"
+	"math/rand/v2"
+
+	"grebeglade/choice"
+	"grebeglade/internal/link"
+	"grebeglade/internal/schedule"
+	pb "grebeglade/proto/grebeglade/v1"
+)
+
+// Lengths of a frame's way in virtual time, in ms one way: within a hall, between halls, and how much longer
+// by chance.
+const (
+	nearWay = choice.Millis(0.2)
+	farWay  = choice.Millis(0.9)
+	wayMore = 0.3
+)
+
+// Host is where parties live: Virtual, or sockets.
+type Host interface {
+	// Add brings a party in and returns the address at which others reach it.
+	Add(p link.Party, zone string) (addr string, err error)
+	// Do calls do on the party's goroutine once that time has come.
+	Do(p link.Party, at choice.Millis, do func(now choice.Millis))
+}
+
+// Virtual is a network and a clock of its own making. What happens depends on the seed and on nothing else.
+type Virtual struct {
+	now     choice.Millis
+	events  schedule.Queue[event]
+	parties []*resident
+	byParty map[link.Party]*resident
+	rng     *rand.Rand
+	Handled uint64 // events so far
+}
+
+type eventKind uint8
+
+const (
+	evDo eventKind = iota
+	evOpened
+	evFrame
+	evClosed
+	evWake
+)
+
+type event struct {
+	kind eventKind
+	at   *resident
+	c    link.ConnID
+	f    *pb.Frame
+	do   func(now choice.Millis)
+	wake uint64
+	why  string
+}
+
+// resident is a party in the virtual network, and the net that it sees.
+type resident struct {
+	v     *Virtual
+	no    int
+	party link.Party
+	zone  string
+	ends  []*end // by ConnID-1
+	// The wake-up that counts, if there is one.
+	wake   uint64
+	wakeAt choice.Millis
+	wakes  bool
+}
+
+// end is one side of a connection.
+type end struct {
+	at   *resident
+	id   link.ConnID
+	peer *end
+	open bool          // as far as this side is concerned
+	last choice.Millis // arrival of the last frame that was sent from here
+}
+
+// NewVirtual makes an empty network.
+func NewVirtual(seed uint64) *Virtual {
+	return &Virtual{rng: rand.New(rand.NewPCG(seed, 0x9e3779b97f4a7c15)), byParty: map[link.Party]*resident{}}
+}
+
+// Now is the virtual time.
+func (v *Virtual) Now() choice.Millis { return v.now }
+
+func (v *Virtual) Add(p link.Party, zone string) (string, error) {
+	r := &resident{v: v, no: len(v.parties), party: p, zone: zone}
+	v.parties = append(v.parties, r)
+	v.byParty[p] = r
+	v.events.Add(v.now, event{kind: evDo, do: func(now choice.Millis) { p.Start(now, r) }})
+	return fmt.Sprintf("virtual:%d", r.no), nil
+}
+
+func (v *Virtual) Do(_ link.Party, at choice.Millis, do func(now choice.Millis)) {
+	v.events.Add(max(at, v.now), event{kind: evDo, do: do})
+}
+
+// Run handles what comes due until that time, or until done says so.
+func (v *Virtual) Run(until choice.Millis, done func() bool) {
+	for at, ok := v.events.Next(); ok && at <= until && !done(); at, ok = v.events.Next() {
+		_, _, e := v.events.Take()
+		v.now = max(v.now, at)
+		v.Handled++
+		v.handle(e)
+	}
+	if !done() {
+		v.now = max(v.now, until)
+	}
+}
+
+func (v *Virtual) handle(e event) {
+	switch e.kind {
+	case evDo:
+		e.do(v.now)
+		return
+	case evWake:
+		if e.wake == e.at.wake {
+			e.at.wakes = false
+			e.at.party.Wake(v.now)
+		}
+		return
+	}
+	side := e.at.ends[e.c-1]
+	if !side.open {
+		return
+	}
+	switch e.kind {
+	case evOpened:
+		e.at.party.Opened(v.now, e.c)
+	case evFrame:
+		e.at.party.Received(v.now, e.c, e.f)
+	case evClosed:
+		side.open = false
+		e.at.party.Closed(v.now, e.c, e.why)
+	}
+}
+
+// way is how long something takes from one party to another.
+func (v *Virtual) way(from, to *resident) choice.Millis {
+	base := nearWay
+	if from.zone != to.zone {
+		base = farWay
+	}
+	return base * choice.Millis(1+wayMore*v.rng.Float64())
+}
+
+// send has something arrive at the other end, after all that was sent before it.
+func (v *Virtual) send(from *end, e event) {
+	to := from.peer
+	from.last = max(from.last, v.now+v.way(from.at, to.at))
+	e.at, e.c = to.at, to.id
+	v.events.Add(from.last, e)
+}
+
+func (r *resident) newEnd() *end {
+	e := &end{at: r, id: link.ConnID(len(r.ends) + 1), open: true}
+	r.ends = append(r.ends, e)
+	return e
+}
+
+func (r *resident) Now() choice.Millis { return r.v.now }
+
+func (r *resident) Dial(addr string) link.ConnID {
+	a := r.newEnd()
+	var no int
+	if _, err := fmt.Sscanf(addr, "virtual:%d", &no); err != nil || no < 0 || no >= len(r.v.parties) {
+		r.v.events.Add(r.v.now, event{kind: evClosed, at: r, c: a.id, why: "no party at " + addr})
+		return a.id
+	}
+	b := r.v.parties[no].newEnd()
+	a.peer, b.peer = b, a
+	r.v.send(a, event{kind: evOpened})
+	b.last = a.last
+	b.last = max(b.last, a.last) + r.v.way(b.at, a.at)
+	r.v.events.Add(b.last, event{kind: evOpened, at: a.at, c: a.id})
+	return a.id
+}
+
+func (r *resident) Send(c link.ConnID, f *pb.Frame) {
+	if e := r.ends[c-1]; e.open && e.peer != nil {
+		r.v.send(e, event{kind: evFrame, f: f})
+	}
+}
+
+func (r *resident) Close(c link.ConnID) {
+	e := r.ends[c-1]
+	if !e.open {
+		return
+	}
+	e.open = false
+	if e.peer != nil {
+		r.v.send(e, event{kind: evClosed, why: "closed by the peer"})
+	}
+}
+
+func (r *resident) WakeAt(t choice.Millis) {
+	if t = max(t, r.v.now); r.wakes && t == r.wakeAt {
+		return
+	}
+	r.wake++
+	r.wakeAt, r.wakes = t, true
+	r.v.events.Add(t, event{kind: evWake, at: r, wake: r.wake})
+}
--- /dev/null
+++ b/internal/port/list.go
@@ -0,0 +1,200 @@
+package port
+
+import (
+	"slices"
+
+	"grebeglade/choice"
+	"grebeglade/internal/link"
+	pb "grebeglade/proto/grebeglade/v1"
+)
+
+// listLink is the connection to the machine list and what was heard on it.
+type listLink struct {
+	conn    link.ConnID
+	ready   bool
+	wanted  bool // a call waits for the connection
+	out     bool // a call waits for its answer
+	fails   int
+	epoch   uint64
+	have    uint64 // revision
+	refused string
+}
+
+func (p *Port) dialList(now choice.Millis) {
+	if p.c.List == "" {
+		return
+	}
+	p.list.conn = p.net.Dial(p.c.List)
+	c := p.list.conn
+	p.timers.At(now+helloWithin, func(choice.Millis) {
+		if p.list.conn == c && !p.list.ready {
+			p.drop(c, "no hello came in time")
+		}
+	})
+}
+
+func (p *Port) listClosed(now choice.Millis, why string) {
+	p.log.Warn("no connection to the machine list", "address", p.c.List, "why", why)
+	failed := p.list.out || p.list.wanted
+	p.list.conn, p.list.ready, p.list.out, p.list.wanted = 0, false, false, false
+	if failed {
+		p.engine.List(now, choice.Failed, nil)
+	}
+	pause := min(redialMost, redialFirst*choice.Millis(int(1)<<min(p.list.fails, 10)))
+	p.list.fails++
+	p.timers.At(now+p.jitter(pause), p.dialList)
+}
+
+// watchList asks for what changed since the last news, and to be told from then on.
+func (p *Port) watchList() {
+	if !p.list.ready {
+		p.list.wanted = true
+		return
+	}
+	p.Counts.ListCalls++
+	p.list.wanted, p.list.out = false, true
+	p.net.Send(p.list.conn, &pb.Frame{Body: &pb.Frame_ListCall{ListCall: &pb.ListCall{
+		Watch: true, Epoch: p.list.epoch, Have: p.list.have,
+	}}})
+}
+
+func (p *Port) fromList(now choice.Millis, f *pb.Frame) {
+	if !p.list.ready {
+		h, refusal := link.CheckHello(f)
+		if refusal == "" && h.Role != pb.Role_LIST {
+			refusal = "no machine list answers at its address"
+		}
+		if refusal != "" {
+			p.list.refused = refusal
+			p.drop(p.list.conn, refusal)
+			return
+		}
+		p.list.ready, p.list.fails = true, 0
+		if p.list.wanted {
+			p.watchList()
+		}
+		return
+	}
+	u := f.GetListUpdate()
+	if u == nil {
+		return
+	}
+	if u.Kind == pb.ListUpdate_FAILED {
+		p.list.out = false
+		p.engine.List(now, choice.Failed, nil)
+		return
+	}
+	p.list.out = false
+	switch whole := u.Kind == pb.ListUpdate_WHOLE; {
+	case u.Epoch != p.list.epoch && !whole:
+		// Changes of a list that started anew mean nothing on top of what the old one said.
+		p.list.have = 0
+		p.watchList()
+		return
+	case u.Epoch == p.list.epoch && u.Revision < p.list.have:
+		return // an answer older than one already seen
+	case u.Epoch == p.list.epoch && u.Revision == p.list.have && !whole:
+		p.engine.List(now, choice.Changes, nil) // no news is news too: the watch stands
+		return
+	}
+	p.list.epoch, p.list.have = u.Epoch, u.Revision
+	p.listed(now, u)
+}
+
+// listed takes entries into our own book of nodes, then to the engine, then to the connections.
+func (p *Port) listed(now choice.Millis, u *pb.ListUpdate) {
+	kind := choice.Changes
+	if u.Kind == pb.ListUpdate_WHOLE {
+		kind = choice.Whole
+		named := make(map[choice.NodeID]bool, len(u.Entries))
+		for _, e := range u.Entries {
+			named[choice.NodeID(e.Id)] = true
+		}
+		for _, n := range p.nodes {
+			if !named[n.id] {
+				n.entry.State = choice.Gone
+			}
+		}
+	}
+	nodes := make([]choice.Node, 0, len(u.Entries))
+	var touched []*node
+	for _, e := range u.Entries {
+		n := p.enter(now, e)
+		nodes = append(nodes, n.told())
+		touched = append(touched, n)
+	}
+	p.engine.List(now, kind, nodes)
+	for _, n := range touched {
+		p.dial(now, n)
+	}
+	p.nodes = slices.DeleteFunc(p.nodes, func(n *node) bool {
+		if n.entry.State != choice.Gone || n.ready || n.dialling {
+			return false
+		}
+		p.lost(now, n)
+		return true
+	})
+}
+
+// enter writes a list entry into the book.
+func (p *Port) enter(now choice.Millis, e *pb.NodeEntry) *node {
+	id := choice.NodeID(e.Id)
+	i, known := p.find(id)
+	if !known {
+		p.nodes = slices.Insert(p.nodes, i, &node{id: id})
+	}
+	n := p.nodes[i]
+	n.listed = now
+	if e.Boot < n.boot && n.ready {
+		return n // of an earlier life than the one that we are connected to
+	}
+	n.starts(now, e.Boot, e.UpForMs)
+	if n.addr != e.Address && n.conn != 0 {
+		p.drop(n.conn, "the list names another address")
+	}
+	n.addr, n.zone, n.kind = e.Address, e.Zone, e.Kind
+	kind := slices.Index(p.c.Kinds, e.Kind)
+	if kind < 0 && !known {
+		p.log.Warn("node is of no known kind and stays unused", "node", id, "kind", e.Kind, "known", p.c.Kinds)
+	}
+	if kind < 0 {
+		kind = len(p.c.Kinds)
+	}
+	n.entry = choice.Node{
+		ID: id, State: stateOf(e.State), Kind: choice.KindID(kind), Zone: number(p.zones, e.Zone),
+		Cell: number(p.cells, e.Cell), Born: n.entry.Born, FreeCores: e.FreeCores, FreeMemory: e.FreeMemory,
+	}
+	return n
+}
+
+// starts takes when a node started. That is worked out once for each start: the way here differs from news to
+// news, and is no restart.
+func (n *node) starts(now choice.Millis, boot uint64, upFor float64) {
+	if n.boot == boot {
+		return
+	}
+	n.boot, n.entry.Born = boot, choice.LongAgo
+	if upFor >= 0 {
+		n.entry.Born = now - choice.Millis(upFor)
+	}
+}
+
+func stateOf(s pb.NodeEntry_State) choice.NodeState {
+	switch s {
+	case pb.NodeEntry_READY:
+		return choice.Ready
+	case pb.NodeEntry_DRAINING:
+		return choice.Draining
+	}
+	return choice.Gone
+}
+
+// number gives each name a number of its own, in the order in which they are met.
+func number[T ~uint16](names map[string]T, name string) T {
+	n, ok := names[name]
+	if !ok {
+		n = T(len(names))
+		names[name] = n
+	}
+	return n
+}
--- /dev/null
+++ b/internal/port/nodes.go
@@ -0,0 +1,302 @@
+package port
+
+import (
+	"math"
+	"slices"
+
+	"grebeglade/choice"
+	"grebeglade/internal/allocator"
+	"grebeglade/internal/link"
+	"grebeglade/internal/record"
+	pb "grebeglade/proto/grebeglade/v1"
+)
+
+func (p *Port) find(id choice.NodeID) (int, bool) {
+	return slices.BinarySearchFunc(p.nodes, id, func(n *node, id choice.NodeID) int {
+		return int(int64(n.id) - int64(id))
+	})
+}
+
+func (p *Port) node(id choice.NodeID) *node {
+	if i, ok := p.find(id); ok {
+		return p.nodes[i]
+	}
+	return nil
+}
+
+// dial opens the connection to a node, unless there is one or nothing to dial.
+func (p *Port) dial(now choice.Millis, n *node) {
+	if n.dialling || n.ready || n.addr == "" || n.entry.State == choice.Gone {
+		return
+	}
+	n.dialling = true
+	n.conn = p.net.Dial(n.addr)
+	c := n.conn
+	p.peers[c] = &peer{role: pb.Role_NODE, node: n}
+	p.timers.At(now+connectWithin, func(choice.Millis) {
+		if n.conn == c && n.dialling {
+			p.drop(c, "no connection in time")
+		}
+	})
+}
+
+// nodeClosed takes the end of a node's connection, or that there will be none.
+func (p *Port) nodeClosed(now choice.Millis, c link.ConnID, n *node, why string) {
+	if n.conn != c {
+		return
+	}
+	stood := n.ready
+	n.conn, n.dialling, n.ready = 0, false, false
+	p.flushQueued(n, false)
+	if stood {
+		p.record.Add(record.Event{At: now, Kind: record.NodeSeen, Node: n.id})
+		p.log.Info("connection to node lost", "node", n.id, "why", why)
+		p.engine.Cut(now, n.id)
+		n.fails = 0
+		if n.draining {
+			n.draining = false
+			p.engine.List(now, choice.Changes, []choice.Node{n.entry})
+		}
+	}
+	if n.entry.State == choice.Gone {
+		p.lost(now, n)
+		return
+	}
+	pause := min(redialMost, redialFirst*choice.Millis(int(1)<<min(n.fails, 10)))
+	n.fails++
+	p.timers.At(now+p.jitter(pause), func(now choice.Millis) {
+		if p.node(n.id) == n {
+			p.dial(now, n)
+		}
+	})
+}
+
+// lost ends what stood on a node that is gone for good.
+func (p *Port) lost(now choice.Millis, n *node) {
+	p.lostNow = true
+	p.engine.Lost(now, n.id)
+	p.lostNow = false
+}
+
+func (p *Port) fromNode(now choice.Millis, c link.ConnID, n *node, f *pb.Frame) {
+	if n.conn != c {
+		return
+	}
+	if !n.ready {
+		h, refusal := link.CheckHello(f)
+		if refusal == "" && (h.Role != pb.Role_NODE || choice.NodeID(h.Node) != n.id) {
+			refusal = "another than the node that the list names answers at its address"
+		}
+		if refusal != "" {
+			n.refusal = refusal
+			p.log.Warn("node not used", "node", n.id, "address", n.addr, "reason", refusal)
+			p.drop(c, refusal)
+			return
+		}
+		p.nodeStands(now, n, h)
+		return
+	}
+	switch b := f.Body.(type) {
+	case *pb.Frame_OfferAnswer:
+		p.offerAnswered(now, n, b.OfferAnswer)
+	case *pb.Frame_End:
+		if id, bind, ok := p.bound(n, b.End.Bind); ok {
+			r := choice.Result{Kind: choice.Unclear, Reason: reasonOf(b.End.Why), Over: true, Load: load(b.End.Load)}
+			if !p.engine.Holds(id, bind) {
+				r.Over = p.wls[id].stopped
+			}
+			p.lostNow = b.End.Why == pb.Why_LOST
+			p.engine.Settled(now, id, bind, n.id, r)
+			p.lostNow = false
+		}
+	case *pb.Frame_Note:
+		if id, bind, ok := p.bound(n, b.Note.Bind); ok {
+			if kind, ok := noteKinds[b.Note.Kind]; ok {
+				p.engine.Note(now, id, bind, kind, b.Note.Value)
+			}
+		}
+	case *pb.Frame_ProbeAnswer:
+		if p.probes[b.ProbeAnswer.Id] == n.id {
+			delete(p.probes, b.ProbeAnswer.Id)
+			p.engine.Probed(now, n.id, true, load(b.ProbeAnswer.Load))
+		}
+	case *pb.Frame_Drain:
+		p.nodeDrains(now, n, b.Drain.Draining)
+	}
+}
+
+// nodeStands takes a node's hello: who it is since when, and what of ours stands there.
+func (p *Port) nodeStands(now choice.Millis, n *node, h *pb.Hello) {
+	n.ready, n.dialling, n.fails, n.refusal = true, false, 0, ""
+	p.record.Add(record.Event{At: now, Kind: record.NodeSeen, Detail: 1, Node: n.id})
+	// A node that is back says so itself, long before the list does: offers would reach it cold meanwhile that
+	// nobody counts. What waits for it was meant for the node as it was; it is placed anew.
+	if h.Incarnation > n.boot {
+		p.flushQueued(n, false)
+		n.starts(now, h.Incarnation, h.UpForMs)
+		p.engine.List(now, choice.Changes, []choice.Node{n.told()})
+	}
+	if h.Draining {
+		p.nodeDrains(now, n, true)
+	}
+	type ref struct {
+		id   choice.WorkloadID
+		bind int
+	}
+	named := map[ref]bool{}
+	var strays []*pb.Standing
+	for _, s := range h.Standing {
+		if id, bind, ok := p.known(n, s.GetOffer().GetBind()); ok && p.engine.Holds(id, bind) {
+			named[ref{id, bind}] = true
+			if p.wls[id].called > bind {
+				p.stop(n, s.Offer.Bind, false) // the first stop may have been lost with the connection
+			}
+		} else if s.GetOffer().GetBind() != nil && s.Offer.Ask != nil {
+			strays = append(strays, s)
+		}
+	}
+	p.lostNow = true
+	p.engine.Stands(now, n.id, func(id choice.WorkloadID, bind int) bool { return named[ref{id, bind}] })
+	p.lostNow = false
+	for _, s := range strays {
+		p.stray(now, n, s)
+	}
+	p.flushQueued(n, true)
+}
+
+// stray takes a workload that stands on a node and is not on our books: of an earlier incarnation it is
+// adopted; a copy that we gave up is stopped, or kept where stopping it could not undo its effect.
+func (p *Port) stray(now choice.Millis, n *node, s *pb.Standing) {
+	o := s.Offer
+	w := p.workload(0, o.Ask)
+	_, held := p.keys[o.Ask.Key]
+	if (o.Bind.Incarnation == p.c.Incarnation || held) && p.engine.Surplus(w.Group) {
+		p.stop(n, o.Bind, false)
+		return
+	}
+	p.lastID++
+	w.ID = p.lastID
+	wl := &workload{owner: o.Owner, ask: o.Ask, nodes: []choice.NodeID{n.id}, bind: o.Bind, since: now, answer: allocator.Placed}
+	p.wls[w.ID] = wl
+	p.old[oldBindOf(n.id, o.Bind)] = w.ID
+	p.asks[askID{wl.owner, wl.ask.Ask}] = w.ID
+	if !held {
+		p.keys[wl.ask.Key] = w.ID
+	}
+	p.engine.Adopt(now, w, n.id)
+	if s.Running {
+		p.engine.Note(now, w.ID, 0, choice.Running, 1)
+	}
+}
+
+// known finds the workload and the bind that a node speaks of: one of ours that went to that node.
+func (p *Port) known(n *node, b *pb.BindID) (choice.WorkloadID, int, bool) {
+	if b == nil || b.Allocator != p.c.Name {
+		return 0, 0, false
+	}
+	if id, ok := p.old[oldBindOf(n.id, b)]; ok {
+		return id, 0, true
+	}
+	id := choice.WorkloadID(b.Workload)
+	wl := p.wls[id]
+	if b.Incarnation == p.c.Incarnation && b.Workload <= math.MaxUint32 && wl != nil && wl.bind == nil &&
+		int(b.Number) < len(wl.nodes) && wl.nodes[b.Number] == n.id {
+		return id, int(b.Number), true
+	}
+	return 0, 0, false
+}
+
+// bound is known for what a node says by itself: counted and logged where it speaks of no bind of ours.
+func (p *Port) bound(n *node, b *pb.BindID) (choice.WorkloadID, int, bool) {
+	id, bind, ok := p.known(n, b)
+	if !ok {
+		p.Counts.Stray++
+		p.log.Debug("a node speaks of no bind of ours", "node", n.id, "incarnation", b.GetIncarnation(),
+			"workload", b.GetWorkload())
+	}
+	return id, bind, ok
+}
+
+func oldBindOf(n choice.NodeID, b *pb.BindID) oldBind {
+	return oldBind{n, b.Incarnation, b.Workload, b.Number}
+}
+
+func (p *Port) offerAnswered(now choice.Millis, n *node, a *pb.OfferAnswer) {
+	id, bind, ok := p.bound(n, a.Bind)
+	switch {
+	case !ok:
+		if l := load(a.Load); l != nil {
+			p.engine.Report(now, n.id, *l)
+		}
+	case a.Accepted:
+		p.engine.Confirmed(now, id, bind, load(a.Load))
+	case p.engine.Holds(id, bind):
+		// A no after a yes is no answer that a node may give; the workload's own end will come.
+		p.Counts.Stray++
+	default:
+		n.refusal = a.Text
+		p.engine.Settled(now, id, bind, n.id, choice.Result{
+			Kind: choice.Declined, Reason: reasonOf(a.Why), Over: p.wls[id].stopped, Load: load(a.Load),
+		})
+	}
+}
+
+// nodeDrains takes a node's own word that it drains, or no longer does. It counts over the list's, which is
+// later, for as long as the connection stands.
+func (p *Port) nodeDrains(now choice.Millis, n *node, draining bool) {
+	if n.draining == draining {
+		return
+	}
+	n.draining = draining
+	p.engine.List(now, choice.Changes, []choice.Node{n.told()})
+}
+
+// told is the list's entry under the node's own word.
+func (n *node) told() choice.Node {
+	e := n.entry
+	if n.draining && e.State == choice.Ready {
+		e.State = choice.Draining
+	}
+	return e
+}
+
+func reasonOf(w pb.Why) choice.Reason {
+	switch w {
+	case pb.Why_NO_CORES:
+		return choice.NoCores
+	case pb.Why_NO_MEMORY:
+		return choice.NoMemory
+	case pb.Why_TOO_MANY_WAITING:
+		return choice.TooManyWaiting
+	case pb.Why_NOT_HERE:
+		return choice.NotHere
+	case pb.Why_EVICTED:
+		return choice.Evicted
+	case pb.Why_PUSHED_OUT:
+		return choice.PushedOut
+	case pb.Why_SENT_AWAY:
+		return choice.SentAway
+	}
+	return choice.NoReason
+}
+
+var noteKinds = map[pb.Note_Kind]choice.NoteKind{
+	pb.Note_RUNNING: choice.Running, pb.Note_CORES_USED: choice.CoresUsed, pb.Note_MEMORY_USED: choice.MemoryUsed,
+}
+
+// load reads a report, or returns nil where none came along, or one too old to tell anything.
+func load(l *pb.Load) *choice.Load {
+	if l == nil || !(choice.Millis(l.AgeMs) < noReport) {
+		return nil
+	}
+	value := func(v *float64) float64 {
+		if v == nil || math.IsInf(*v, 0) {
+			return math.NaN()
+		}
+		return *v
+	}
+	return &choice.Load{
+		SpareCores: value(l.SpareCores), SpareMemory: value(l.SpareMemory), Backlog: value(l.Backlog),
+		Utilization: value(l.Utilization),
+	}
+}
--- /dev/null
+++ b/internal/port/port.go
@@ -0,0 +1,631 @@
+// Package port puts an allocator on the wire: frames become calls of the engine, and what the engine wants
+// becomes frames. It is a link.Party, so it runs alike on sockets and in virtual time.
+//
+// It keeps the connections to owners, nodes and the machine list: who is who, what waits for a connection,
+// when to dial again. It decides nothing about placing. Times are milliseconds; one goroutine.
+package port
+
+import (
+	"cmp"
+	"encoding/binary"
+	"fmt"
+	"hash/fnv"
+	"log/slog"
+	"math"
+	"slices"
+
+	"grebeglade/choice"
+	"grebeglade/internal/allocator"
+	"grebeglade/internal/link"
+	"grebeglade/internal/record"
+	pb "grebeglade/proto/grebeglade/v1"
+)
+
+const (
+	connectWithin = choice.Millis(250)   // ms; a node that is not there by then is unreachable
+	probeWithin   = choice.Millis(250)   // ms; a probe unanswered for so long failed
+	redialFirst   = choice.Millis(100)   // ms before dialling again after a first failure; doubles
+	redialMost    = choice.Millis(10e3)  // ms; longer would leave a node that is back unused
+	helloWithin   = choice.Millis(5e3)   // ms that a peer may be silent at first: it is no peer of ours then
+	keepQueued    = 64                   // offers that wait for one connection; more are unreachable
+	recordSize    = 1 << 14              // events of the record that are kept, unless told otherwise
+	stoodAfter    = choice.Millis(50)    // ms; a wake-up later than that means that the process stood still
+	noReport      = choice.Millis(100e3) // ms; a report older than this tells nothing
+)
+
+// Config is what an allocator is told at its start.
+type Config struct {
+	Name        string // its own, kept over restarts
+	Incarnation uint64 // grows with each start
+	Seed        uint64
+	Settings    choice.Settings
+	Groups      []string // names, in the order of Settings.Groups
+	Kinds       []string // names, in the order of Settings.Kinds
+	Zone        string
+	List        string // address of the machine list; "" for none
+	MostHeld    int    // workloads pending and placed; 0 for no limit
+	RecordSize  int
+	Log         *slog.Logger
+}
+
+// Counts are what an allocator did since its start.
+type Counts struct {
+	Asks, Placed, Rejected, Unschedulable, Turned, Withdrawn uint64
+	Binds, Moves, Probes, ListCalls                          uint64
+	Duplicates                                               uint64 // asks that came twice
+	Stray                                                    uint64 // answers for no bind of ours
+}
+
+// workload is what the wire must remember of an ask.
+type workload struct {
+	owner   string
+	ask     *pb.Ask
+	nodes   []choice.NodeID // of each bind
+	bind    *pb.BindID      // of an adopted one: as its node knows it
+	since   choice.Millis
+	answer  allocator.Verdict
+	stopped bool // its owner wants it no more
+	called  int  // bind that was called off, counted from 1; 0 for none
+}
+
+// oldBind names a bind of an earlier incarnation.
+type oldBind struct {
+	node        choice.NodeID
+	incarnation uint64
+	workload    uint64
+	number      uint32
+}
+
+type askID struct {
+	owner string
+	ask   uint64
+}
+
+// node is one machine that the list has named.
+type node struct {
+	id       choice.NodeID
+	entry    choice.Node
+	kind     string
+	zone     string
+	addr     string
+	boot     uint64
+	listed   choice.Millis
+	conn     link.ConnID
+	dialling bool
+	ready    bool
+	draining bool // by its own word, on this connection
+	fails    int
+	queued   []queuedOffer // for when the connection stands
+	refusal  string
+}
+
+// queuedOffer is a bind that waits for its node's connection.
+type queuedOffer struct {
+	id    choice.WorkloadID
+	wl    *workload
+	bind  int
+	offer *pb.Offer
+	since choice.Millis
+}
+
+// peer is who speaks on a connection.
+type peer struct {
+	role  pb.Role // unspecified until its hello
+	owner string
+	node  *node
+}
+
+// Port is an allocator on the wire.
+type Port struct {
+	c       Config
+	log     *slog.Logger
+	net     link.Net
+	engine  *allocator.Engine
+	record  *record.Log
+	timers  link.Timers
+	wake    choice.Millis // the engine's, if wakes
+	wakes   bool
+	now     choice.Millis
+	later   []func(now choice.Millis) // results that came up while the engine was at work
+	peers   map[link.ConnID]*peer
+	owners  map[string]link.ConnID
+	nodes   []*node // by id
+	wls     map[choice.WorkloadID]*workload
+	asks    map[askID]choice.WorkloadID
+	keys    map[uint64]choice.WorkloadID
+	old     map[oldBind]choice.WorkloadID
+	lastID  choice.WorkloadID
+	groups  map[string]int
+	zones   map[string]choice.ZoneID
+	cells   map[string]choice.CellID
+	probes  map[uint64]choice.NodeID
+	probeNo uint64
+	draws   uint64
+	due     choice.Millis // wake-up that was set
+	stood   choice.Millis // how long the process stood still, at most
+	stoodTo choice.Millis
+	list    listLink
+	closing bool
+	lostNow bool // the engine is told of losses, not of ends
+	pending int  // workloads without a final answer
+	Counts  Counts
+}
+
+// New makes an allocator; link or lab starts it.
+func New(c Config) *Port {
+	p := &Port{
+		c: c, log: c.Log, record: record.NewLog(cmp.Or(c.RecordSize, recordSize)),
+		peers: map[link.ConnID]*peer{}, owners: map[string]link.ConnID{},
+		wls: map[choice.WorkloadID]*workload{}, asks: map[askID]choice.WorkloadID{},
+		keys: map[uint64]choice.WorkloadID{}, old: map[oldBind]choice.WorkloadID{}, groups: map[string]int{},
+		zones: map[string]choice.ZoneID{c.Zone: 0}, cells: map[string]choice.CellID{},
+		probes: map[uint64]choice.NodeID{},
+	}
+	if p.log == nil {
+		p.log = slog.New(slog.DiscardHandler)
+	}
+	for i, g := range c.Groups {
+		p.groups[g] = i
+	}
+	c.Settings.Zone = 0
+	p.engine = allocator.New(c.Settings, c.Seed, (*world)(p), allocator.Options{TimesOut: true, Log: p.record})
+	return p
+}
+
+// Record is what happened, by revision.
+func (p *Port) Record() *record.Log { return p.record }
+
+// Pending is the number of workloads that have no final answer yet.
+func (p *Port) Pending() int { return p.pending }
+
+// Held is the number of workloads pending or placed.
+func (p *Port) Held() int { return len(p.wls) }
+
+// Shut has every further ask rejected. What is held is still answered; Pending tells when all is.
+func (p *Port) Shut() { p.closing = true }
+
+func (p *Port) Start(now choice.Millis, net link.Net) {
+	p.now, p.net = now, net
+	p.engine.Start(now)
+	p.dialList(now)
+	p.settle(now)
+}
+
+// begin takes the time of what is handled next. A process that stood still finds frames that have waited, and
+// cannot know for how long: at most since it last did anything.
+func (p *Port) begin(now choice.Millis) {
+	if now-p.due > stoodAfter && p.due > 0 {
+		p.stood, p.stoodTo = now-p.now, now
+	}
+	p.now, p.due = now, max(p.due, now)
+}
+
+func (p *Port) Wake(now choice.Millis) {
+	p.begin(now)
+	p.timers.Run(now)
+	if p.wakes && p.wake <= now {
+		p.wakes = false
+		p.engine.Tick(now)
+	}
+	p.settle(now)
+}
+
+// settle hands the engine what came up while it was at work, then sets the wake-up.
+func (p *Port) settle(now choice.Millis) {
+	for len(p.later) > 0 {
+		calls := p.later
+		p.later = nil
+		for _, call := range calls {
+			call(now)
+		}
+	}
+	at, ok := p.timers.Next()
+	if p.wakes && (!ok || p.wake < at) {
+		at, ok = p.wake, true
+	}
+	if ok {
+		p.due = max(at, now)
+		p.net.WakeAt(p.due)
+	}
+}
+
+func (p *Port) Opened(now choice.Millis, c link.ConnID) {
+	p.begin(now)
+	switch from := p.peers[c]; {
+	case c == p.list.conn:
+		p.net.Send(c, p.hello(pb.Role_ALLOCATOR))
+	case from == nil:
+		p.peers[c] = &peer{}
+		p.timers.At(now+helloWithin, func(choice.Millis) {
+			if from := p.peers[c]; from != nil && from.role == pb.Role_ROLE_UNSPECIFIED {
+				p.refuse(c, "no hello came in time")
+			}
+		})
+	case from.node != nil:
+		p.net.Send(c, p.hello(pb.Role_ALLOCATOR))
+	}
+	p.settle(now)
+}
+
+func (p *Port) hello(r pb.Role, standing ...*pb.Standing) *pb.Frame {
+	return link.Hello(&pb.Hello{Role: r, Name: p.c.Name, Incarnation: p.c.Incarnation, Standing: standing})
+}
+
+// refuse ends a connection with a reason that the peer can act on.
+func (p *Port) refuse(c link.ConnID, reason string) {
+	p.log.Warn("connection refused", "reason", reason)
+	p.net.Send(c, link.Refuse(reason))
+	p.drop(c, reason)
+}
+
+// drop ends a connection from our side.
+func (p *Port) drop(c link.ConnID, why string) {
+	p.net.Close(c)
+	p.Closed(p.now, c, why)
+}
+
+func (p *Port) Received(now choice.Millis, c link.ConnID, f *pb.Frame) {
+	p.begin(now)
+	from := p.peers[c]
+	switch {
+	case c == p.list.conn:
+		p.fromList(now, f)
+	case from == nil:
+	case from.node != nil:
+		p.fromNode(now, c, from.node, f)
+	case from.role == pb.Role_ROLE_UNSPECIFIED:
+		p.greet(now, c, from, f)
+	case from.role == pb.Role_OWNER:
+		p.fromOwner(now, c, from.owner, f)
+	case from.role == pb.Role_OPERATOR && f.GetQuery() != nil:
+		p.net.Send(c, &pb.Frame{Body: &pb.Frame_State{State: p.state(now, f.GetQuery())}})
+	}
+	p.settle(now)
+}
+
+// greet takes the first frame of a connection that came in.
+func (p *Port) greet(now choice.Millis, c link.ConnID, from *peer, f *pb.Frame) {
+	h, refusal := link.CheckHello(f)
+	switch {
+	case refusal != "":
+		p.refuse(c, refusal)
+	case h.Role == pb.Role_OWNER:
+		if old, ok := p.owners[h.Name]; ok {
+			p.refuse(old, "another connection came in under the name "+h.Name)
+		}
+		from.role, from.owner = h.Role, h.Name
+		p.owners[h.Name] = c
+		p.net.Send(c, p.hello(pb.Role_ALLOCATOR, p.standingOf(h.Name)...))
+	case h.Role == pb.Role_OPERATOR:
+		from.role = h.Role
+		p.net.Send(c, p.hello(pb.Role_ALLOCATOR))
+	default:
+		p.refuse(c, fmt.Sprintf("an allocator serves owners and operators, not the role %s", h.Role))
+	}
+}
+
+// standingOf is what of an owner's is placed, in the order of its coming.
+func (p *Port) standingOf(owner string) (standing []*pb.Standing) {
+	for id, wl := range p.wls {
+		if wl.owner == owner && wl.answer == allocator.Placed && !wl.stopped {
+			standing = append(standing, &pb.Standing{Offer: p.offer(id, wl)})
+		}
+	}
+	slices.SortFunc(standing, func(x, y *pb.Standing) int {
+		return cmp.Compare(x.Offer.Bind.Workload, y.Offer.Bind.Workload)
+	})
+	return standing
+}
+
+func (p *Port) Closed(now choice.Millis, c link.ConnID, why string) {
+	p.begin(now)
+	from := p.peers[c]
+	delete(p.peers, c)
+	switch {
+	case c == p.list.conn && c != 0:
+		p.listClosed(now, why)
+	case from == nil:
+	case from.node != nil:
+		p.nodeClosed(now, c, from.node, why)
+	case from.role == pb.Role_OWNER && p.owners[from.owner] == c:
+		delete(p.owners, from.owner)
+		p.ownerGone(now, from.owner)
+	}
+	p.settle(now)
+}
+
+// ownerGone withdraws what an owner had pending: it can be told no answer. What is placed runs on.
+func (p *Port) ownerGone(now choice.Millis, owner string) {
+	var ids []choice.WorkloadID
+	for id, wl := range p.wls {
+		if wl.owner == owner && wl.answer == 0 {
+			ids = append(ids, id)
+		}
+	}
+	slices.Sort(ids)
+	for _, id := range ids {
+		p.withdraw(now, id)
+	}
+}
+
+func (p *Port) fromOwner(now choice.Millis, c link.ConnID, owner string, f *pb.Frame) {
+	switch {
+	case f.GetAsk() != nil:
+		p.ask(now, c, owner, f.GetAsk())
+	case f.GetWithdraw() != nil:
+		if id, ok := p.asks[askID{owner, f.GetWithdraw().Ask}]; ok {
+			p.withdraw(now, id)
+		}
+	default:
+		p.refuse(c, fmt.Sprintf("an owner may not send %T", f.Body))
+	}
+}
+
+func (p *Port) withdraw(now choice.Millis, id choice.WorkloadID) {
+	if wl := p.wls[id]; wl != nil && !wl.stopped {
+		p.Counts.Withdrawn++
+		wl.stopped = true
+		if wl.answer == 0 {
+			p.pending--
+		}
+		p.engine.Withdraw(now, id)
+	}
+}
+
+// ask takes an ask to the engine, or turns it away at once with the reason.
+func (p *Port) ask(now choice.Millis, c link.ConnID, owner string, a *pb.Ask) {
+	p.Counts.Asks++
+	if _, ok := p.asks[askID{owner, a.Ask}]; ok {
+		p.Counts.Duplicates++ // its one answer goes out, or went out, for the first
+		return
+	}
+	if reason := p.unfit(a); reason != "" {
+		p.Counts.Turned++
+		p.record.Add(record.Event{At: now, Kind: record.Turned})
+		p.answer(c, a.Ask, pb.Verdict_REJECTED, 0, reason)
+		return
+	}
+	p.lastID++
+	id := p.lastID
+	p.wls[id] = &workload{owner: owner, ask: a, since: now}
+	p.asks[askID{owner, a.Ask}] = id
+	p.keys[a.Key] = id
+	p.pending++
+	w := p.workload(id, a)
+	if now-p.stoodTo < stoodAfter {
+		w.Left -= p.stood
+	}
+	p.engine.Ask(now, w)
+}
+
+func (p *Port) workload(id choice.WorkloadID, a *pb.Ask) choice.Workload {
+	group, ok := p.groups[a.Group]
+	if !ok {
+		group = len(p.c.Groups)
+	}
+	return choice.Workload{
+		ID: id, Service: choice.ServiceID(a.Service), Group: choice.GroupID(group),
+		Cores: a.Cores, Memory: a.Memory, Left: choice.Millis(a.LeftMs), Again: a.Again,
+	}
+}
+
+// unfit says why an ask cannot be taken, or "".
+func (p *Port) unfit(a *pb.Ask) string {
+	amount := func(v float64) bool { return v > 0 && v <= math.MaxFloat32 }
+	_, known := p.groups[a.Group]
+	_, held := p.keys[a.Key]
+	switch {
+	case p.closing:
+		return "the allocator is stopping; ask another"
+	case !known:
+		return fmt.Sprintf("group %q is not known here; known are %q", a.Group, p.c.Groups)
+	case !amount(a.Cores):
+		return fmt.Sprintf("cores is %v; it must be above 0", a.Cores)
+	case !amount(a.Memory):
+		return fmt.Sprintf("memory is %v; it must be above 0", a.Memory)
+	case !amount(a.LeftMs):
+		return fmt.Sprintf("left_ms is %v; it must be above 0", a.LeftMs)
+	case held:
+		return "a workload of that key is held here already"
+	case p.c.MostHeld > 0 && len(p.wls) >= p.c.MostHeld:
+		return fmt.Sprintf("the allocator holds %d workloads, the most it may", len(p.wls))
+	case p.lastID == math.MaxUint32:
+		return "the allocator has named all its workloads; restart it"
+	}
+	return ""
+}
+
+func (p *Port) answer(c link.ConnID, ask uint64, v pb.Verdict, node choice.NodeID, reason string) {
+	p.net.Send(c, &pb.Frame{Body: &pb.Frame_Answer{Answer: &pb.Answer{
+		Ask: ask, Verdict: v, Node: uint32(node), Reason: reason,
+	}}})
+}
+
+// offer is a workload's bind as it goes over the wire.
+func (p *Port) offer(id choice.WorkloadID, wl *workload) *pb.Offer {
+	return &pb.Offer{Bind: p.bindID(id, wl), Owner: wl.owner, Ask: wl.ask}
+}
+
+func (p *Port) bindID(id choice.WorkloadID, wl *workload) *pb.BindID {
+	if wl.bind != nil {
+		return wl.bind
+	}
+	return &pb.BindID{
+		Allocator: p.c.Name, Incarnation: p.c.Incarnation, Workload: uint64(id), Number: uint32(len(wl.nodes) - 1),
+	}
+}
+
+// jitter is a quarter more or less than d, by chance.
+func (p *Port) jitter(d choice.Millis) choice.Millis {
+	p.draws++
+	h := fnv.New64a()
+	var b [16]byte
+	binary.BigEndian.PutUint64(b[:], p.c.Seed)
+	binary.BigEndian.PutUint64(b[8:], p.draws)
+	h.Write(b[:])
+	return d * choice.Millis(0.75+float64(h.Sum64()>>11%1000)/2000)
+}
+
+// world is the port as the engine sees it.
+type world Port
+
+func (w *world) Bind(id choice.WorkloadID, bind int, to choice.NodeID, timeout choice.Millis) {
+	p := (*Port)(w)
+	wl := p.wls[id]
+	wl.nodes = append(wl.nodes, to)
+	p.Counts.Binds++
+	n := p.node(to)
+	o := p.offer(id, wl)
+	o.AcceptWithinMs = float64(timeout)
+	switch {
+	case n != nil && n.ready:
+		p.net.Send(n.conn, &pb.Frame{Body: &pb.Frame_Offer{Offer: o}})
+	case n != nil && n.dialling && len(n.queued) < keepQueued:
+		n.queued = append(n.queued, queuedOffer{id, wl, bind, o, p.now})
+	default:
+		p.unreachable(id, bind, to)
+	}
+}
+
+// unreachable has the engine hear, once it is done with what it does, that a bind never left.
+func (p *Port) unreachable(id choice.WorkloadID, bind int, node choice.NodeID) {
+	p.later = append(p.later, func(now choice.Millis) {
+		p.engine.Settled(now, id, bind, node, choice.Result{Kind: choice.Unreachable})
+	})
+}
+
+// flushQueued sends what waited for a connection, or says that it never left. What was called off, or ended,
+// while it waited must not leave any more.
+func (p *Port) flushQueued(n *node, send bool) {
+	queued := n.queued
+	n.queued = nil
+	for _, q := range queued {
+		if !send || p.wls[q.id] != q.wl || q.wl.called == len(q.wl.nodes) || len(q.wl.nodes)-1 != q.bind {
+			p.unreachable(q.id, q.bind, n.id)
+			continue
+		}
+		q.offer.AcceptWithinMs -= float64(p.now - q.since)
+		p.net.Send(n.conn, &pb.Frame{Body: &pb.Frame_Offer{Offer: q.offer}})
+	}
+}
+
+func (w *world) Stop(
+	id choice.WorkloadID, _ int, at choice.NodeID, why allocator.Why, onlyWaiting bool,
+) {
+	p := (*Port)(w)
+	wl := p.wls[id]
+	if why == allocator.Moved {
+		p.Counts.Moves++
+	}
+	wl.called = len(wl.nodes)
+	if n := p.node(at); n != nil && n.ready {
+		p.stop(n, p.bindID(id, wl), onlyWaiting)
+	}
+}
+
+func (p *Port) stop(n *node, b *pb.BindID, onlyWaiting bool) {
+	p.net.Send(n.conn, &pb.Frame{Body: &pb.Frame_Stop{Stop: &pb.Stop{Bind: b, OnlyWaiting: onlyWaiting}}})
+}
+
+func (w *world) Probe(id choice.NodeID) {
+	p := (*Port)(w)
+	p.Counts.Probes++
+	n := p.node(id)
+	if n == nil || !n.ready {
+		p.later = append(p.later, func(now choice.Millis) { p.engine.Probed(now, id, false, nil) })
+		return
+	}
+	p.probeNo++
+	no := p.probeNo
+	p.probes[no] = id
+	p.net.Send(n.conn, &pb.Frame{Body: &pb.Frame_Probe{Probe: &pb.Probe{Id: no}}})
+	p.timers.At(p.now+probeWithin, func(now choice.Millis) {
+		if _, out := p.probes[no]; out {
+			delete(p.probes, no)
+			p.engine.Probed(now, id, false, nil)
+		}
+	})
+}
+
+func (w *world) Watch() { (*Port)(w).watchList() }
+
+func (w *world) Answer(id choice.WorkloadID, v allocator.Verdict, node choice.NodeID) {
+	p := (*Port)(w)
+	wl := p.wls[id]
+	wl.answer = v
+	p.pending--
+	verdict, reason := pb.Verdict_PLACED, ""
+	switch v {
+	case allocator.Placed:
+		p.Counts.Placed++
+	case allocator.Rejected:
+		p.Counts.Rejected++
+		verdict, reason = pb.Verdict_REJECTED, p.why(wl)
+	default:
+		p.Counts.Unschedulable++
+		verdict, reason = pb.Verdict_UNSCHEDULABLE, "a bind was not answered; it may have run"
+	}
+	if c, ok := p.owners[wl.owner]; ok {
+		p.answer(c, wl.ask.Ask, verdict, node, reason)
+	}
+}
+
+// why says in words what a rejected workload met.
+func (p *Port) why(wl *workload) string {
+	fits := slices.ContainsFunc(p.c.Settings.Kinds, func(k choice.Kind) bool {
+		return wl.ask.Cores <= k.Cores && wl.ask.Memory <= k.Memory
+	})
+	switch {
+	case len(p.nodes) == 0:
+		return "no node is known"
+	case !fits:
+		return "it is larger than any kind of node"
+	case len(wl.nodes) > 0:
+		return fmt.Sprintf("no node is feasible after %d binds", len(wl.nodes))
+	}
+	return fmt.Sprintf("none of %d nodes is feasible", len(p.nodes))
+}
+
+func (w *world) Ended(id choice.WorkloadID, _ choice.NodeID, moved bool, why choice.Reason) {
+	p := (*Port)(w)
+	wl := p.wls[id]
+	c, ok := p.owners[wl.owner]
+	if !ok {
+		return
+	}
+	over := &pb.Over{Ask: wl.ask.Ask, Why: pb.Why_FINISHED}
+	switch {
+	case moved:
+		over.Why = pb.Why_MOVED
+	case why == choice.Evicted:
+		over.Why = pb.Why_EVICTED
+	case why == choice.PushedOut:
+		over.Why = pb.Why_PUSHED_OUT
+	case why == choice.SentAway:
+		over.Why = pb.Why_SENT_AWAY
+	case why == choice.NoReason && p.lostNow:
+		over.Why = pb.Why_LOST
+	}
+	p.net.Send(c, &pb.Frame{Body: &pb.Frame_Over{Over: over}})
+}
+
+func (w *world) Dropped(id choice.WorkloadID) {
+	p := (*Port)(w)
+	wl := p.wls[id]
+	delete(p.wls, id)
+	if p.asks[askID{wl.owner, wl.ask.Ask}] == id {
+		delete(p.asks, askID{wl.owner, wl.ask.Ask})
+	}
+	if wl.bind != nil {
+		delete(p.old, oldBindOf(wl.nodes[0], wl.bind))
+	}
+	if p.keys[wl.ask.Key] == id {
+		delete(p.keys, wl.ask.Key)
+	}
+}
+
+func (w *world) Wake(at choice.Millis) {
+	if p := (*Port)(w); !p.wakes || at < p.wake {
+		p.wake, p.wakes = at, true
+	}
+}
--- /dev/null
+++ b/internal/schedule/schedule.go
@@ -0,0 +1,69 @@
+// Package schedule holds things that come due: earliest first, equal times in the order in which they were
+// added. Times are milliseconds.
+package schedule
+
+import "grebeglade/choice"
+
+// Queue is empty at first.
+type Queue[T any] struct {
+	items []item[T]
+	no    uint64
+}
+
+type item[T any] struct {
+	at choice.Millis
+	no uint64
+	v  T
+}
+
+// Len is the number of things that are not taken yet.
+func (q *Queue[T]) Len() int { return len(q.items) }
+
+// Add keeps v until that time and returns its number; numbers start at 1 and grow.
+func (q *Queue[T]) Add(at choice.Millis, v T) uint64 {
+	q.no++
+	q.items = append(q.items, item[T]{at, q.no, v})
+	for i := len(q.items) - 1; i > 0; {
+		up := (i - 1) / 2
+		if !q.before(i, up) {
+			break
+		}
+		q.items[i], q.items[up] = q.items[up], q.items[i]
+		i = up
+	}
+	return q.no
+}
+
+// Next is the time of the first, if there is one.
+func (q *Queue[T]) Next() (choice.Millis, bool) {
+	if len(q.items) == 0 {
+		return 0, false
+	}
+	return q.items[0].at, true
+}
+
+// Take takes the first out and returns it with its time and number. The queue must not be empty.
+func (q *Queue[T]) Take() (at choice.Millis, no uint64, v T) {
+	first, last := q.items[0], len(q.items)-1
+	q.items[0] = q.items[last]
+	q.items[last] = item[T]{}
+	q.items = q.items[:last]
+	for i := 0; ; {
+		least := i
+		for _, down := range [2]int{2*i + 1, 2*i + 2} {
+			if down < last && q.before(down, least) {
+				least = down
+			}
+		}
+		if least == i {
+			return first.at, first.no, first.v
+		}
+		q.items[i], q.items[least] = q.items[least], q.items[i]
+		i = least
+	}
+}
+
+func (q *Queue[T]) before(i, j int) bool {
+	x, y := &q.items[i], &q.items[j]
+	return x.at < y.at || x.at == y.at && x.no < y.no
+}
