--- /dev/null
+++ b/internal/command/client.go
@@ -0,0 +1,105 @@
+package command
+
+import (
+	"bufio"
+	"encoding/binary"
+	"fmt"
+	"io"
+	"net"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"grebeglade/internal/link"
+	pb "grebeglade/proto/grebeglade/v1"
+)
+
+const talkWithin = 5 * time.Second // for a connection and for an answer that costs no placing
+
+// client is a blocking connection to an allocator.
+type client struct {
+	conn net.Conn
+	in   *bufio.Reader
+}
+
+// dial connects and says hello.
+func dial(addr string, role pb.Role, name string) (*client, error) {
+	conn, err := net.DialTimeout("tcp", addr, talkWithin)
+	if err != nil {
+		return nil, failure{fmt.Errorf("no allocator at %s: %w; start one with 'grebeglade serve', or name it with --to", addr, err)}
+	}
+	c := &client{conn: conn, in: bufio.NewReader(conn)}
+	if err := c.send(link.Hello(&pb.Hello{Role: role, Name: name, Incarnation: 1})); err != nil {
+		return nil, err
+	}
+	f, err := c.receive(talkWithin)
+	if err != nil {
+		return nil, err
+	}
+	if _, refusal := link.CheckHello(f); refusal != "" {
+		return nil, failure{fmt.Errorf("%s: %s", addr, refusal)}
+	}
+	return c, nil
+}
+
+func (c *client) send(f *pb.Frame) error {
+	b, err := link.Append(nil, f)
+	if err == nil {
+		_, err = c.conn.Write(b)
+	}
+	if err != nil {
+		return failure{err}
+	}
+	return nil
+}
+
+func (c *client) receive(within time.Duration) (*pb.Frame, error) {
+	if err := c.conn.SetReadDeadline(time.Now().Add(within)); err != nil {
+		return nil, failure{err}
+	}
+	var head [4]byte
+	if _, err := io.ReadFull(c.in, head[:]); err != nil {
+		return nil, failure{fmt.Errorf("no answer: %w", err)}
+	}
+	n := binary.BigEndian.Uint32(head[:])
+	if n > 64<<20 {
+		return nil, failure{fmt.Errorf("an answer of %d bytes is over the limit", n)}
+	}
+	body := make([]byte, n)
+	if _, err := io.ReadFull(c.in, body); err != nil {
+		return nil, failure{fmt.Errorf("answer cut short: %w", err)}
+	}
+	f, err := link.Decode(body)
+	if err != nil {
+		return nil, failure{err}
+	}
+	return f, nil
+}
+
+func (c *client) Close() error { return c.conn.Close() }
+
+// toFlag adds the flag that names the allocator to talk to.
+func toFlag(c *cobra.Command, to *string) {
+	c.Flags().StringVar(to, "to", environment("GREBEGLADE_ADDR", "127.0.0.1:7070"),
+		"address of the allocator; GREBEGLADE_ADDR in the environment sets it for all commands")
+}
+
+// query asks an allocator what it knows.
+func query(to string, what pb.Query_What, most uint32) (*pb.State, error) {
+	c, err := dial(to, pb.Role_OPERATOR, "")
+	if err != nil {
+		return nil, err
+	}
+	defer c.Close()
+	if err := c.send(&pb.Frame{Body: &pb.Frame_Query{Query: &pb.Query{What: what, Most: most}}}); err != nil {
+		return nil, err
+	}
+	f, err := c.receive(talkWithin)
+	if err != nil {
+		return nil, err
+	}
+	if f.GetState() == nil {
+		return nil, failure{fmt.Errorf("the allocator answered with %T", f.Body)}
+	}
+	return f.GetState(), nil
+}
--- /dev/null
+++ b/internal/command/lab.go
@@ -0,0 +1,211 @@
+package command
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"grebeglade/choice"
+	"grebeglade/internal/lab"
+)
+
+func labCommand() *cobra.Command {
+	c := &cobra.Command{Use: "lab", Short: "Play days of trouble with stand-ins for nodes, list and owners"}
+	c.AddCommand(labListCommand(), labPlayCommand())
+	return c
+}
+
+func labListCommand() *cobra.Command {
+	var asJSON bool
+	c := &cobra.Command{
+		Use:   "list",
+		Short: "Name the day scripts that come with the program",
+		Args:  cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			if asJSON {
+				return printJSON(c, lab.Names())
+			}
+			rows := [][]string{{"SCRIPT", "WHAT HAPPENS"}}
+			for _, name := range lab.Names() {
+				s, err := lab.Open(name)
+				if err != nil {
+					return err
+				}
+				rows = append(rows, []string{name, s.About})
+			}
+			return printTable(c, rows)
+		},
+	}
+	jsonFlag(c, &asJSON)
+	return c
+}
+
+func labPlayCommand() *cobra.Command {
+	var o lab.Options
+	var virtual, asJSON, verbose bool
+	var allocators, nodes int
+	var rate float64
+	var length time.Duration
+	var sabotage string
+	c := &cobra.Command{
+		Use:   "play SCRIPT|FILE",
+		Short: "Play a day and audit it",
+		Long: "Plays a day script with real allocators against stand-ins, on loopback sockets or in virtual time, and\n" +
+			"audits the five rules from the frames that passed. Exit status 0 if they held, 1 if one broke.",
+		Args: cobra.ExactArgs(1),
+		RunE: func(c *cobra.Command, args []string) error {
+			s, err := lab.Open(args[0])
+			if err != nil {
+				return err
+			}
+			if allocators < 0 || nodes < 0 || rate < 0 || length < 0 {
+				return errors.New("--allocators, --nodes, --rate and --for must not be below 0")
+			}
+			s.Resize(allocators, nodes)
+			if length > 0 {
+				s.Stretch(choice.Millis(float64(length) / 1e6))
+			}
+			if rate > 0 {
+				s.Owner.Rate = rate
+			}
+			if _, ok := lab.Sabotages[lab.Sabotage(sabotage)]; !ok && sabotage != "" {
+				known := slices.Sorted(maps.Keys(lab.Sabotages))
+				return fmt.Errorf("--break %q is not known; known are %v", sabotage, known)
+			}
+			o.Sabotage, o.Log = lab.Sabotage(sabotage), labLog(c.ErrOrStderr(), verbose)
+			r, err := playDay(c, s, o, virtual)
+			if err != nil {
+				return err
+			}
+			return showDay(c, r, asJSON)
+		},
+	}
+	f := c.Flags()
+	f.Uint64Var(&o.Seed, "seed", 1, "seed of all chance")
+	f.BoolVar(&virtual, "virtual", false, "in virtual time: fast, and the same result on every run of a seed")
+	f.IntVar(&allocators, "allocators", 0, "so many allocators instead of the script's")
+	f.IntVar(&nodes, "nodes", 0, "so many nodes instead of the script's; the load follows")
+	f.Float64Var(&rate, "rate", 0, "so many new workloads a second instead of the script's")
+	f.DurationVar(&length, "for", 0, "another length of the day; the faults follow")
+	f.StringVar(&sabotage, "break", "", "let the allocators break a rule on purpose, to see the auditor catch it")
+	f.BoolVar(&verbose, "verbose", false, "show the allocators' log")
+	jsonFlag(c, &asJSON)
+	return c
+}
+
+func labLog(w io.Writer, verbose bool) *slog.Logger {
+	if !verbose {
+		return nil
+	}
+	return slog.New(slog.NewTextHandler(w, nil))
+}
+
+func playDay(c *cobra.Command, s *lab.Script, o lab.Options, virtual bool) (*lab.Result, error) {
+	var r *lab.Result
+	var err error
+	if virtual {
+		r, err = lab.PlayVirtual(s, o)
+	} else {
+		r, err = lab.PlaySockets(c.Context(), s, o, func(p lab.Progress) { showProgress(c.ErrOrStderr(), p) })
+	}
+	if errors.Is(err, context.Canceled) {
+		err = errors.New("stopped before the day was over; nothing is judged")
+	}
+	if err != nil {
+		return nil, failure{err}
+	}
+	return r, nil
+}
+
+func showProgress(w io.Writer, p lab.Progress) {
+	fmt.Fprintf(w, "%4.0f of %.0f s: %d asks, %d placed, %d rejected, %d unschedulable, %d waiting\n",
+		float64(min(p.At, p.Of))/1000, float64(p.Of)/1000, p.Asks, p.Placed, p.Rejected, p.Unschedulable, p.Waits)
+}
+
+func showDay(c *cobra.Command, r *lab.Result, asJSON bool) error {
+	if asJSON {
+		if err := printJSON(c, r); err != nil {
+			return err
+		}
+	} else {
+		tellDay(c.OutOrStdout(), r)
+	}
+	if len(r.Broken) > 0 {
+		return errWrong
+	}
+	return nil
+}
+
+// tellDay says in plain words what came of a day.
+func tellDay(w io.Writer, r *lab.Result) {
+	how := "on loopback sockets"
+	if r.Virtual {
+		how = "in virtual time"
+	}
+	fmt.Fprintf(w, "Day %q (%s), seed %d, %s: %d allocators, %d nodes, %.0f s, run in %.1f s.\n",
+		r.Name, r.About, r.Seed, how, r.Allocators, r.Nodes, r.DaySeconds, r.RanSeconds)
+	fmt.Fprintf(w, "Owners asked %d times for %d workloads. Placed %d, rejected %d, unschedulable %d, withdrawn %d, cut off "+
+		"with their allocator or connection %d, without an answer %d.\n", r.Workloads, r.Firsts, r.Placed, r.Rejected,
+		r.Unschedulable, r.Withdrawn, r.Cut, r.Unanswered)
+	fmt.Fprintf(w, "It took %d binds and %d moves; half of the workloads were placed within %.0f ms, 99%% within %.0f ms.\n",
+		r.Binds, r.Moves, r.WaitMedian, r.Wait99)
+	var ends []string
+	for _, why := range slices.Sorted(maps.Keys(r.Ended)) {
+		ends = append(ends, fmt.Sprintf("%d %s", r.Ended[why], strings.ReplaceAll(strings.ToLower(why), "_", " ")))
+	}
+	if len(ends) > 0 {
+		fmt.Fprintf(w, "Of those placed have ended: %s.\n", strings.Join(ends, ", "))
+	}
+	if len(r.Broken) == 0 {
+		fmt.Fprintf(w, "The five rules held, by the %d frames that passed.\n", r.Frames)
+		return
+	}
+	fmt.Fprintf(w, "RULES WERE BROKEN, %d times:\n", len(r.Broken)+r.MoreBroken)
+	for _, b := range r.Broken[:min(len(r.Broken), 5)] {
+		fmt.Fprintf(w, "  rule %d at %.0f ms: %s (workload %d, node %d)\n", b.Rule, b.At, b.What, b.Workload, b.Node)
+		for _, f := range b.Frames {
+			fmt.Fprintf(w, "    %s\n", f)
+		}
+	}
+}
+
+func demoCommand() *cobra.Command {
+	var length time.Duration
+	var asJSON bool
+	var seed uint64
+	c := &cobra.Command{
+		Use:   "demo",
+		Short: "Play a rough day on loopback sockets, with no file and no other program",
+		Long: "Starts a machine list, nodes, owners and two allocators on loopback sockets and plays a rough day:\n" +
+			"stalls, a crash, another program on the machines, a burst, slow nodes, a late list, a rolling deploy.\n" +
+			"Then audits what passed. Exit status 0 only if every rule held.",
+		Args: cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			if length < time.Second {
+				return fmt.Errorf("--for %s is too short for a day; give 1s or more", length)
+			}
+			s, err := lab.Open("rough")
+			if err != nil {
+				return err
+			}
+			s.Stretch(choice.Millis(float64(length) / 1e6))
+			r, err := playDay(c, s, lab.Options{Seed: seed}, false)
+			if err != nil {
+				return err
+			}
+			return showDay(c, r, asJSON)
+		},
+	}
+	c.Flags().DurationVar(&length, "for", 20*time.Second, "how long owners ask for workloads")
+	c.Flags().Uint64Var(&seed, "seed", 1, "seed of the faults and of what is asked for")
+	jsonFlag(c, &asJSON)
+	return c
+}
--- /dev/null
+++ b/internal/daemon/daemon.go
@@ -0,0 +1,95 @@
+// Package daemon puts a running allocator together from its configuration, and takes it apart again.
+package daemon
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/binary"
+	"fmt"
+	"io"
+	"log/slog"
+	"os"
+	"time"
+
+	"grebeglade/choice"
+	"grebeglade/config"
+	"grebeglade/internal/link"
+	"grebeglade/internal/port"
+)
+
+const lookEvery = 20 * time.Millisecond // while it waits for the last answers
+
+// Daemon is an allocator that listens.
+type Daemon struct {
+	Addr string // where it listens
+	loop *link.Loop
+	port *port.Port
+	log  *slog.Logger
+}
+
+// Logger makes the logger that the configuration asks for.
+func Logger(c config.Log, w io.Writer) *slog.Logger {
+	var level slog.Level
+	if err := level.UnmarshalText([]byte(c.Level)); err != nil {
+		level = slog.LevelInfo
+	}
+	o := &slog.HandlerOptions{Level: level}
+	if c.Format == "json" {
+		return slog.New(slog.NewJSONHandler(w, o))
+	}
+	return slog.New(slog.NewTextHandler(w, o))
+}
+
+// Start listens and begins to serve.
+func Start(c *config.Allocator, log *slog.Logger) (*Daemon, error) {
+	var seed [8]byte
+	if _, err := rand.Read(seed[:]); err != nil {
+		return nil, fmt.Errorf("draw a seed: %w", err)
+	}
+	log = log.With("allocator", c.Name)
+	d := &Daemon{loop: link.NewLoop(log), log: log}
+	d.port = port.New(port.Config{
+		Name: c.Name, Incarnation: uint64(time.Now().UnixNano()), Seed: binary.LittleEndian.Uint64(seed[:]),
+		Settings: c.Settings, Groups: c.Groups, Kinds: c.Kinds, Zone: c.Zone, List: c.List,
+		MostHeld: c.Limits.Workloads, Log: log,
+	})
+	limits := link.Limits{
+		Frame: int(c.Limits.Frame), Waiting: int(c.Limits.Waiting), Connections: c.Limits.Connections,
+	}
+	addr, err := d.loop.Listen(d.port, c.Listen, limits)
+	if err != nil {
+		d.loop.Close()
+		return nil, err
+	}
+	d.Addr = addr
+	d.loop.Run()
+	log.Info("serving", "listen", addr, "list", c.List, "pid", os.Getpid())
+	return d, nil
+}
+
+// Stop turns every further ask away, waits until what is held has its answer or ctx ends, and leaves. What is
+// placed runs on. It returns the number of workloads that were left without an answer.
+func (d *Daemon) Stop(ctx context.Context) int {
+	d.loop.Ask(d.port, func(choice.Millis) { d.port.Shut() })
+	tick := time.NewTicker(lookEvery)
+	defer tick.Stop()
+	left := d.pending()
+	d.log.Info("stopping: no new asks", "pending", left)
+	for left > 0 && ctx.Err() == nil {
+		select {
+		case <-ctx.Done():
+		case <-tick.C:
+			left = d.pending()
+		}
+	}
+	d.loop.Close()
+	c := d.port.Counts
+	d.log.Info("stopped", "unanswered", left, "asks", c.Asks, "placed", c.Placed, "rejected", c.Rejected,
+		"turned", c.Turned, "unschedulable", c.Unschedulable, "withdrawn", c.Withdrawn)
+	return left
+}
+
+func (d *Daemon) pending() (n int) {
+	d.loop.Ask(d.port, func(choice.Millis) { n = d.port.Pending() })
+	return n
+}
--- a/internal/lab/owner.go
+++ b/internal/lab/owner.go
@@ -13,6 +13,7 @@
 
 const (
 	settleAfter = choice.Millis(3e3) // ms that an owner waits where its workload may have run
+	hastily     = choice.Millis(40)  // ms within which an owner may think again at once
 	leastLeft   = choice.Millis(500) // ms of life that are not worth asking for again
 )
 
@@ -247,7 +248,12 @@
 	o.Tally.Firsts++
 	o.ask(now, w)
 	if o.rng.Float64() < o.model.Withdraws {
-		o.timers.At(now+choice.Millis(o.rng.Float64())*o.model.Until/4, func(now choice.Millis) { o.withdraw(now, w) })
+		// Every other time so soon that the answer is on its way.
+		within := hastily
+		if o.rng.IntN(2) == 0 {
+			within = d.Life
+		}
+		o.timers.At(now+within*choice.Millis(o.rng.Float64()), func(now choice.Millis) { o.withdraw(now, w) })
 	}
 }
 
--- a/internal/lab/play.go
+++ b/internal/lab/play.go
@@ -1,9 +1,21 @@
 package lab
 
 import (
+	"cmp"
+	"context"
+	"slices"
+	"sync"
 	"time"
+
+	"grebeglade/choice"
+	"grebeglade/internal/link"
+	pb "grebeglade/proto/grebeglade/v1"
 )
 
+// socketSlack is how long beyond the pending timeout owners wait on sockets, where other programs take turns
+// with ours on the same cores.
+const socketSlack = choice.Millis(500)
+
 // PlayVirtual plays a day in virtual time. The result depends on the script and the options alone.
 func PlayVirtual(s *Script, o Options) (*Result, error) {
 	began := time.Now()
@@ -22,3 +34,110 @@
 	r.RanSeconds = time.Since(began).Seconds()
 	return r, nil
 }
+
+// Progress is how far a day on sockets is.
+type Progress struct {
+	At, Of                                       choice.Millis
+	Asks, Placed, Rejected, Unschedulable, Waits int
+}
+
+// PlaySockets plays a day on loopback sockets, in real time. What passed is audited once it is over. Told of
+// progress once a second; a context that ends cuts the day short, and it is then not judged.
+func PlaySockets(ctx context.Context, s *Script, o Options, told func(Progress)) (*Result, error) {
+	began := time.Now()
+	s.Owner.Slack = max(s.Owner.Slack, socketSlack)
+	loop := link.NewLoop(o.Log)
+	defer loop.Close()
+	seen := &recorder{}
+	d, err := NewDay(s, o, loop, seen, loop.Now())
+	if err != nil {
+		return nil, err
+	}
+	loop.Run()
+	tick := time.NewTicker(200 * time.Millisecond)
+	defer tick.Stop()
+	for n := 1; ; n++ {
+		select {
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		case <-tick.C:
+		}
+		now := loop.Now()
+		if p := d.progress(loop); told != nil && n%5 == 0 {
+			told(p)
+		} else if now > d.Ends() || now > d.QuietAt() && p.Waits == 0 {
+			break
+		}
+	}
+	select {
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	case <-time.After(time.Duration(float64(settleFor) * 1e6)):
+	}
+	loop.Close()
+	a := NewAuditor(s.Terms())
+	seen.replay(a)
+	a.Finish(loop.Now())
+	r := d.Result(a)
+	r.RanSeconds = time.Since(began).Seconds()
+	return r, nil
+}
+
+// progress asks the owners, each on its own goroutine.
+func (d *Day) progress(loop *link.Loop) Progress {
+	p := Progress{At: max(0, loop.Now()-d.begins), Of: d.script.Length}
+	for _, g := range d.owners {
+		loop.Ask(g, func(choice.Millis) {
+			o := g.Inner().(*Owner)
+			p.Asks += o.Tally.Asks
+			p.Placed += o.Tally.Placed
+			p.Rejected += o.Tally.Rejected
+			p.Unschedulable += o.Tally.Unschedulable
+			p.Waits += o.Open()
+		})
+	}
+	return p
+}
+
+// recorder keeps what parties on their own goroutines show, to be told in order afterwards.
+type recorder struct {
+	mu     sync.Mutex
+	events []recorded
+}
+
+type recorded struct {
+	at   choice.Millis
+	tell func(w Witness)
+}
+
+func (r *recorder) add(at choice.Millis, tell func(w Witness)) {
+	r.mu.Lock()
+	r.events = append(r.events, recorded{at, tell})
+	r.mu.Unlock()
+}
+
+func (r *recorder) Frame(now choice.Millis, g *Gate, c link.ConnID, out bool, f *pb.Frame) {
+	r.add(now, func(w Witness) { w.Frame(now, g, c, out, f) })
+}
+
+func (r *recorder) Conn(now choice.Millis, g *Gate, c link.ConnID, open bool) {
+	r.add(now, func(w Witness) { w.Conn(now, g, c, open) })
+}
+
+func (r *recorder) Life(now choice.Millis, g *Gate, alive bool) {
+	r.add(now, func(w Witness) { w.Life(now, g, alive) })
+}
+
+func (r *recorder) Still(now choice.Millis, g *Gate, until choice.Millis) {
+	r.add(now, func(w Witness) { w.Still(now, g, until) })
+}
+
+// replay tells a witness all of it by time. One party's events keep their order: its clock never steps back.
+func (r *recorder) replay(w Witness) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	slices.SortStableFunc(r.events, func(x, y recorded) int { return cmp.Compare(x.at, y.at) })
+	for _, e := range r.events {
+		e.tell(w)
+	}
+}
--- a/internal/lab/script.go
+++ b/internal/lab/script.go
@@ -284,3 +284,14 @@
 	}
 	return names[0]
 }
+
+// Stretch has the day last for another time; its faults come and go in proportion.
+func (s *Script) Stretch(length choice.Millis) {
+	by := length / s.Length
+	s.Length = length
+	for i := range s.Faults {
+		f := &s.Faults[i]
+		f.At *= by
+		f.For *= by
+	}
+}
