--- /dev/null
+++ b/internal/allocator/engine_test.go
@@ -0,0 +1,210 @@
+package allocator
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+
+	"grebeglade/choice"
+	"grebeglade/internal/record"
+)
+
+// script is a world that writes down what the engine wants.
+type script struct{ did []string }
+
+func (s *script) say(format string, args ...any) { s.did = append(s.did, fmt.Sprintf(format, args...)) }
+
+func (s *script) Bind(id choice.WorkloadID, bind int, n choice.NodeID, _ choice.Millis) {
+	s.say("bind %d.%d to %d", id, bind, n)
+}
+func (s *script) Stop(id choice.WorkloadID, bind int, _ choice.NodeID, w Why, onlyWaiting bool) {
+	s.say("stop %d.%d %d %v", id, bind, w, onlyWaiting)
+}
+func (s *script) Probe(n choice.NodeID) { s.say("probe %d", n) }
+func (s *script) Watch()                { s.say("watch") }
+func (s *script) Answer(id choice.WorkloadID, v Verdict, _ choice.NodeID) {
+	s.say("answer %d %s", id, v)
+}
+func (s *script) Ended(id choice.WorkloadID, _ choice.NodeID, moved bool, why choice.Reason) {
+	s.say("ended %d %v %d", id, moved, why)
+}
+func (s *script) Dropped(choice.WorkloadID) {}
+func (s *script) Wake(choice.Millis)        {}
+
+// take returns what was wanted since the last time.
+func (s *script) take() []string {
+	did := s.did
+	s.did = nil
+	return did
+}
+
+const (
+	restartable choice.GroupID = iota
+	runOnce
+)
+
+// begin is an engine that knows that many empty machines of 10 cores.
+func begin(nodes int) (*Engine, *script) {
+	group := choice.Group{Target: 1000, Utility: 1, Kind: -1}
+	once := group
+	once.Effect = choice.RunOnce
+	w := &script{}
+	e := New(choice.Settings{
+		Allocators: 1, Groups: []choice.Group{group, once}, Kinds: []choice.Kind{{Cores: 10, Memory: 20}}, MaxBinds: 3,
+		RoomInList: true, ReportsUse: true,
+	}, 1, w, Options{TimesOut: true, Log: record.NewLog(100)})
+	e.Start(0)
+	var entries []choice.Node
+	for i := range nodes {
+		entries = append(entries, choice.Node{
+			ID: choice.NodeID(i + 1), Cell: choice.CellID(i), Born: choice.LongAgo, FreeCores: 10, FreeMemory: 20,
+		})
+	}
+	e.List(0, choice.Whole, entries)
+	return e, w
+}
+
+func ask(e *Engine, now choice.Millis, id choice.WorkloadID, g choice.GroupID) {
+	e.Ask(now, choice.Workload{ID: id, Service: 1, Group: g, Cores: 1, Memory: 1, Left: 6000})
+}
+
+func settled(k choice.ResultKind) choice.Result { return choice.Result{Kind: k} }
+
+func TestAPlacedWorkloadIsAnsweredOnceAndEndsOnce(t *testing.T) {
+	e, w := begin(1)
+	ask(e, 10, 7, restartable)
+	e.Confirmed(20, 7, 0, nil)
+	e.Confirmed(21, 7, 0, nil)
+	e.Settled(30, 7, 0, 1, choice.Result{Kind: choice.Unclear, Reason: choice.Evicted})
+	e.Settled(31, 7, 0, 1, settled(choice.Ended))
+	assert.Equal(t, []string{"bind 7.0 to 1", "answer 7 placed", "ended 7 false 5"}, w.take())
+	assert.Zero(t, e.Held())
+}
+
+func TestARefusalIsFollowedByAnotherNodeAndThenByARejection(t *testing.T) {
+	e, w := begin(2)
+	ask(e, 10, 7, restartable)
+	first := w.take()[0]
+	e.Settled(20, 7, 0, 1, choice.Result{Kind: choice.Declined, Reason: choice.NoCores})
+	e.Settled(30, 7, 1, 2, choice.Result{Kind: choice.Declined, Reason: choice.NoCores})
+	did := w.take()
+	assert.NotEqual(t, first, did[0])
+	assert.Equal(t, "answer 7 rejected", did[len(did)-1])
+}
+
+func TestABindTimesOutWithoutTheWorldAndIsCalledOff(t *testing.T) {
+	e, w := begin(2)
+	ask(e, 0, 7, restartable)
+	w.take()
+	e.Tick(3000)
+	did := w.take()
+	assert.Contains(t, did, "stop 7.0 1 false")
+	assert.Contains(t, fmt.Sprint(did), "bind 7.1")
+	// An offer that is accepted after we gave it up says nothing about the bind that is out now.
+	e.Confirmed(3001, 7, 0, nil)
+	assert.Empty(t, w.take())
+}
+
+func TestARunOnceWorkloadThatMayHaveRunIsUnschedulableAndKept(t *testing.T) {
+	e, w := begin(3)
+	ask(e, 0, 7, runOnce)
+	w.take()
+	e.Cut(50, e.held[7].node)
+	assert.Equal(t, []string{"answer 7 unschedulable"}, w.take())
+	ask(e, 100, 8, runOnce)
+	w.take()
+	e.Tick(6099)
+	assert.Contains(t, w.take(), "stop 8.0 1 true", "only what waits may be called off")
+	assert.False(t, e.Surplus(runOnce))
+	assert.True(t, e.Surplus(restartable))
+}
+
+func TestAWithdrawnWorkloadIsCalledOffAndNeverAnswered(t *testing.T) {
+	e, w := begin(1)
+	ask(e, 0, 7, restartable)
+	ask(e, 0, 8, restartable)
+	w.take()
+	e.Withdraw(5, 7)
+	e.Withdraw(6, 7)
+	assert.Equal(t, []string{"stop 7.0 2 false"}, w.take())
+	// The node's yes was on its way.
+	e.Confirmed(7, 7, 0, nil)
+	e.Settled(9, 7, 0, 1, settled(choice.Ended))
+	assert.Empty(t, w.take())
+	// One that was withdrawn and never answered is let go of when its time is up.
+	e.Withdraw(10, 8)
+	w.take()
+	e.Tick(7000)
+	assert.NotContains(t, fmt.Sprint(w.take()), "answer")
+	assert.Zero(t, e.Held())
+}
+
+func TestWithoutAnyNodeAWorkloadWaitsAndIsRejectedInTime(t *testing.T) {
+	e, w := begin(0)
+	ask(e, 0, 7, restartable)
+	for now := choice.Millis(0); now <= 1100; now += 50 {
+		e.Tick(now)
+	}
+	assert.Contains(t, w.take(), "answer 7 rejected")
+	ask(e, 1200, 8, restartable)
+	e.Withdraw(1210, 8)
+	e.Tick(9000)
+	assert.NotContains(t, fmt.Sprint(w.take()), "answer 8")
+}
+
+func TestALostNodeEndsWhatStoodThereAndFreesWhatWasOut(t *testing.T) {
+	e, w := begin(1)
+	ask(e, 0, 7, restartable)
+	e.Confirmed(5, 7, 0, nil)
+	ask(e, 6, 8, restartable)
+	e.Adopt(7, choice.Workload{ID: 9, Service: 2, Cores: 1, Memory: 1}, 1)
+	w.take()
+	e.List(10, choice.Changes, []choice.Node{{ID: 1, State: choice.Gone}})
+	e.Lost(10, 1)
+	did := w.take()
+	assert.Contains(t, did, "ended 7 false 0")
+	assert.Contains(t, did, "ended 9 false 0")
+	assert.Contains(t, did, "answer 8 rejected", "no other node is there, and it may run twice")
+}
+
+func TestANodeSaysWhatStandsAndTheRestHasEnded(t *testing.T) {
+	e, w := begin(1)
+	for id := choice.WorkloadID(1); id <= 3; id++ {
+		ask(e, 0, id, restartable)
+		e.Confirmed(5, id, 0, nil)
+	}
+	w.take()
+	e.Stands(10, 1, func(id choice.WorkloadID, bind int) bool { return id == 2 && bind == 0 })
+	assert.Equal(t, []string{"ended 1 false 0", "ended 3 false 0"}, w.take())
+	assert.True(t, e.Holds(2, 0))
+}
+
+// The clock of a process that stood still jumps; everything that came due meanwhile is done once, in order.
+func TestAllThatIsOverdueIsDoneAfterAStandstill(t *testing.T) {
+	e, w := begin(1)
+	ask(e, 0, 7, runOnce)
+	ask(e, 0, 8, restartable)
+	w.take()
+	e.Tick(60000)
+	did := w.take()
+	assert.Contains(t, did, "answer 7 unschedulable")
+	assert.Contains(t, did, "answer 8 rejected")
+	e.Tick(60000)
+	assert.NotContains(t, fmt.Sprint(w.take()), "answer")
+}
+
+func TestTheRecordHoldsEveryDecisionInOrder(t *testing.T) {
+	e, _ := begin(1)
+	ask(e, 10, 7, restartable)
+	e.Confirmed(20, 7, 0, nil)
+	e.Settled(30, 7, 0, 1, settled(choice.Ended))
+	events, whole := e.log.Since(1)
+	assert.True(t, whole)
+	var kinds []record.Kind
+	for i, ev := range events {
+		assert.Equal(t, uint64(i+2), ev.Revision)
+		kinds = append(kinds, ev.Kind)
+	}
+	assert.Equal(t, []record.Kind{record.Asked, record.Bound, record.Outcome, record.Answered, record.Ended}, kinds)
+}
--- /dev/null
+++ b/internal/lab/lab_test.go
@@ -0,0 +1,259 @@
+package lab
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"grebeglade/choice"
+	"grebeglade/internal/link"
+	pb "grebeglade/proto/grebeglade/v1"
+)
+
+func open(t *testing.T, name string) *Script {
+	t.Helper()
+	s, err := Open(name)
+	require.NoError(t, err)
+	return s
+}
+
+func play(t *testing.T, s *Script, o Options) *Result {
+	t.Helper()
+	r, err := PlayVirtual(s, o)
+	require.NoError(t, err)
+	return r
+}
+
+// kept checks what must hold on any day of an honest engine.
+func kept(t *testing.T, r *Result) {
+	t.Helper()
+	assert.Empty(t, r.Broken, "seed %d", r.Seed)
+	assert.Zero(t, r.Unanswered, "seed %d", r.Seed)
+	assert.Zero(t, r.Fell, "seed %d", r.Seed)
+	assert.Equal(t, r.Workloads, r.Placed+r.Rejected+r.Unschedulable+r.Withdrawn+r.Cut+r.Unanswered, "seed %d", r.Seed)
+	assert.NotZero(t, r.Placed)
+}
+
+// seeds is how many seeds of each script are played; GREBEGLADE_SEEDS asks for more.
+func seeds() uint64 {
+	if n, err := strconv.Atoi(os.Getenv("GREBEGLADE_SEEDS")); err == nil {
+		return uint64(n)
+	}
+	return 50
+}
+
+func TestEveryScriptKeepsTheRules(t *testing.T) {
+	for _, name := range Names() {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			for seed := range seeds() {
+				kept(t, play(t, open(t, name), Options{Seed: seed + 1}))
+			}
+		})
+	}
+}
+
+func TestTheSameSeedGivesTheSameDay(t *testing.T) {
+	for _, name := range []string{"rough", "overlap", "cold-herd"} {
+		first, again := play(t, open(t, name), Options{Seed: 3}), play(t, open(t, name), Options{Seed: 3})
+		again.RanSeconds = first.RanSeconds
+		assert.Equal(t, first, again)
+		assert.NotEqual(t, first.Digest, play(t, open(t, name), Options{Seed: 4}).Digest)
+	}
+}
+
+func TestManyAllocatorsDoNotPushOverAColdNode(t *testing.T) {
+	s := open(t, "cold-herd")
+	s.Resize(320, 0)
+	kept(t, play(t, s, Options{Seed: 1}))
+}
+
+// The first proof, on sockets: a rough day with overlapping troubles.
+func TestARoughDayOverSocketsKeepsTheRules(t *testing.T) {
+	s := open(t, "rough")
+	s.Stretch(9000)
+	r, err := PlaySockets(context.Background(), s, Options{Seed: 2}, nil)
+	require.NoError(t, err)
+	kept(t, r)
+	assert.Greater(t, r.Frames, 1000)
+}
+
+func TestTheAuditorCatchesEveryDeliberateBreak(t *testing.T) {
+	// The days on which each has occasion to break its rule.
+	days := map[Sabotage]string{
+		NoAnswer: "quiet", TwoAnswers: "quiet", LateAnswer: "full", OffersAfter: "quiet", TwoBinds: "quiet",
+		RejectsMaybe: "hall-cut", DrainDeaf: "deploy", ColdBlind: "cold-herd", SpreadBlind: "full",
+	}
+	for how, rule := range Sabotages {
+		t.Run(string(how), func(t *testing.T) {
+			r := play(t, open(t, days[how]), Options{Seed: 1, Sabotage: how})
+			require.NotEmpty(t, r.Broken)
+			found := false
+			for _, b := range r.Broken {
+				found = found || b.Rule == rule
+				assert.NotEmpty(t, b.Frames)
+			}
+			assert.True(t, found, "rule %d", rule)
+		})
+	}
+}
+
+func TestTheAuditorCatchesABreakOverSockets(t *testing.T) {
+	s := open(t, "quiet")
+	s.Stretch(2000)
+	r, err := PlaySockets(context.Background(), s, Options{Seed: 1, Sabotage: TwoBinds}, nil)
+	require.NoError(t, err)
+	require.NotEmpty(t, r.Broken)
+	assert.Equal(t, 2, r.Broken[0].Rule)
+}
+
+func TestADayThatIsCutShortIsNotJudged(t *testing.T) {
+	ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
+	defer cancel()
+	_, err := PlaySockets(ctx, open(t, "quiet"), Options{Seed: 1}, nil)
+	assert.ErrorIs(t, err, context.DeadlineExceeded)
+}
+
+// Each fault must show in what the day brings, or the days prove nothing.
+func TestEveryFaultShows(t *testing.T) {
+	calm := play(t, open(t, "quiet"), Options{Seed: 1})
+	lost := func(r *Result) bool { return r.Ended["LOST"] > 0 }
+	slower := func(r *Result) bool { return r.Wait99 > 5*calm.Wait99 }
+	for name, shows := range map[string]func(*Result) bool{
+		"crash": lost, "preempt": lost, "cold-herd": lost,
+		"deploy":          func(r *Result) bool { return r.Ended["SENT_AWAY"] > 0 },
+		"slow":            slower,
+		"stall":           slower,
+		"allocator-still": slower,
+		"forget":          slower, // against a day on which programs are kept; setups are long
+		"overrun":         func(r *Result) bool { return r.Ended["EVICTED"] > 0 },
+		"burst":           func(r *Result) bool { return r.Firsts > calm.Firsts*5/4 },
+		"full":            func(r *Result) bool { return r.Rejected > r.Placed },
+		"throttle":        func(r *Result) bool { return r.Binds > uint64(r.Placed) },
+		"hall-cut":        func(r *Result) bool { return r.Unschedulable+r.Ended["LOST"] > 0 },
+		"reconnect":       func(r *Result) bool { return r.Firsts > calm.Firsts*5/4 },
+		"allocator-death": func(r *Result) bool { return r.Stray == 0 && r.ListCalls == 0 },
+		"list-overrun":    func(r *Result) bool { return r.ListCalls > 0 },
+	} {
+		assert.True(t, shows(play(t, open(t, name), Options{Seed: 1})), name)
+	}
+	for name, set := range map[string]func(*Node){
+		"neighbour": func(n *Node) { n.Neighbour = 0.5 }, "hot": func(n *Node) { n.Swells = Swelling{Part: 1, Times: 3} },
+	} {
+		n := NewNode(&NodeSpec{Cores: 10, Memory: 10}, &NodeModel{}, 1)
+		n.tasks = []*task{{offer: &pb.Offer{Ask: &pb.Ask{}}, cores: 2, memory: 2}}
+		before := n.coresUsed()
+		set(n)
+		assert.Greater(t, n.coresUsed(), before, name)
+	}
+}
+
+// nodeWire is the net of one node under test.
+type nodeWire struct {
+	now  choice.Millis
+	wake choice.Millis
+	sent []*pb.Frame
+}
+
+func (w *nodeWire) Dial(string) link.ConnID         { return 1 }
+func (w *nodeWire) Send(c link.ConnID, f *pb.Frame) { w.sent = append(w.sent, f) }
+func (w *nodeWire) Close(link.ConnID)               {}
+func (w *nodeWire) WakeAt(t choice.Millis)          { w.wake = t }
+func (w *nodeWire) Now() choice.Millis              { return w.now }
+func (w *nodeWire) run(n *Node, until choice.Millis) {
+	for w.wake <= until {
+		w.now = w.wake
+		n.Wake(w.now)
+	}
+	w.now = until
+}
+
+// said are the node's answers to offers, in words.
+func (w *nodeWire) said() (all []string) {
+	for _, f := range w.sent {
+		if a := f.GetOfferAnswer(); a != nil {
+			all = append(all, fmt.Sprintf("%d %v %s", a.Bind.Workload, a.Accepted, a.Text))
+		}
+	}
+	w.sent = nil
+	return all
+}
+
+func TestANodeTakesAnOfferOnceAndRefusesWithAReason(t *testing.T) {
+	w := &nodeWire{}
+	n := NewNode(&NodeSpec{ID: 1, Cores: 10, Memory: 10}, &NodeModel{
+		OverCores: 1, OverMemory: 1, Admit: 10, Line: 3, Starts: 1, Setup: 2, ReportEvery: 1000, Away: "keeps",
+		Groups: map[string]*GroupModel{"g": {Work: 50, Cores: 1, Memory: 1}, "t": {Work: 50}},
+	}, 1)
+	n.Start(0, w)
+	n.Opened(0, 2)
+	n.Received(0, 2, link.Hello(&pb.Hello{Role: pb.Role_ALLOCATOR, Name: "a", Incarnation: 5}))
+	offer := func(id uint64, change ...func(*pb.Offer)) {
+		o := &pb.Offer{
+			Bind: &pb.BindID{Allocator: "a", Incarnation: 5, Workload: id}, AcceptWithinMs: 100,
+			Ask: &pb.Ask{Key: id, Service: 1, Group: "g", Cores: 4, Memory: 4, RunsForMs: 10000},
+		}
+		for _, f := range change {
+			f(o)
+		}
+		n.Received(w.now, 2, &pb.Frame{Body: &pb.Frame_Offer{Offer: o}})
+	}
+	offer(1)
+	w.run(n, 20)
+	offer(1) // again, as a network may bring it
+	w.run(n, 40)
+	assert.Equal(t, []string{"1 true ", "1 true "}, w.said())
+	assert.Len(t, n.tasks, 1)
+	offer(2, func(o *pb.Offer) { o.Bind.Incarnation = 4 })
+	offer(3, func(o *pb.Offer) { o.Ask.Key = 1 })
+	offer(4, func(o *pb.Offer) { o.Ask.Cores = 7 })
+	offer(5)
+	w.run(n, 200)
+	offer(6, func(o *pb.Offer) { o.Ask.Memory, o.Ask.Cores = 7, 1 })
+	offer(7, func(o *pb.Offer) { o.AcceptWithinMs = 5 })
+	n.Throttled = "t"
+	offer(8, func(o *pb.Offer) { o.Ask.Group = "t" })
+	w.run(n, 240)
+	assert.Equal(t, []string{
+		"5 false too many offers wait", "2 false from an earlier incarnation of the allocator",
+		"3 false a copy stands here", "4 false no cores left", "6 false no memory left", "7 false too late", "8 false ",
+	}, w.said())
+	// Called off or draining while it waits in line: refused, and nothing of it stands.
+	offer(9, func(o *pb.Offer) { o.Ask.Cores = 1 })
+	n.Received(w.now, 2, &pb.Frame{Body: &pb.Frame_Stop{Stop: &pb.Stop{Bind: &pb.BindID{Allocator: "a", Incarnation: 5, Workload: 9}, OnlyWaiting: true}}})
+	offer(10, func(o *pb.Offer) { o.Ask.Cores = 1 })
+	n.Drain(w.now, true)
+	w.run(n, 300)
+	assert.Equal(t, []string{"9 false called off", "10 false draining"}, w.said())
+	// What was accepted is not called off where only what waits may be.
+	n.Received(w.now, 2, &pb.Frame{Body: &pb.Frame_Stop{Stop: &pb.Stop{Bind: &pb.BindID{Allocator: "a", Incarnation: 5, Workload: 1}, OnlyWaiting: true}}})
+	assert.Len(t, n.tasks, 1)
+}
+
+func TestAWrongScriptIsNamedWithItsLine(t *testing.T) {
+	base := "kind \"k\" {}\ngroup \"g\" {}\n"
+	for src, want := range map[string]string{
+		"fault \"flood\" {}":                                      `x.hcl:3: a fault of kind "flood" is not known; give it the name of a kind`,
+		"fault \"crash\" {\n part = 2\n}":                         "x.hcl:4: part is 2; write a number from 0 to 1",
+		"fault \"hall-cut\" {\n zone = \"x\"\n}":                  `x.hcl:4: zone "x" is not known`,
+		"fault \"overrun\" {\n group = \"x\"\n}":                  `x.hcl:4: group "x" is not known`,
+		"fault \"stall\" {\n every = \"0s\"\n}":                   "x.hcl:4: every is no time",
+		"length = \"0s\"":                                         "x.hcl:3: the day has no length",
+		"load {\n rate = \"fast\"\n}":                             "x.hcl:4: rate is not a number",
+		"fault \"crash\" {}\nfault \"crash\" {}":                  `x.hcl:4: fault "crash" stands already in line 3`,
+		"fault \"second\" {\n kind = \"crash\"\n atx = \"5s\"\n}": "x.hcl:5: atx is not known here; did you mean at?",
+	} {
+		_, err := DecodeScript("x.hcl", []byte(base+src))
+		assert.ErrorContains(t, err, want, src)
+	}
+	_, err := Open("ruogh")
+	assert.ErrorContains(t, err, `no script is named "ruogh"; known are allocator-death`)
+	assert.True(t, strings.HasPrefix(open(t, "rough").About, "overlapping"))
+}
--- a/internal/lab/scripts/overrun.hcl
+++ b/internal/lab/scripts/overrun.hcl
@@ -84,7 +84,7 @@
 fault "overrun" {
   at = "5s"
   for = "12s"
-  part = 0.3
-  size = 5
+  part = 0.5
+  size = 8
   group = "serve"
 }
--- /dev/null
+++ b/internal/link/link_test.go
@@ -0,0 +1,286 @@
+package link
+
+import (
+	"bufio"
+	"encoding/binary"
+	"fmt"
+	"io"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
+
+	"grebeglade/choice"
+	pb "grebeglade/proto/grebeglade/v1"
+)
+
+func sample() *pb.Frame {
+	return &pb.Frame{Body: &pb.Frame_Ask{Ask: &pb.Ask{Ask: 7, Key: 8, Group: "serve", Cores: 1.5, LeftMs: 6000}}}
+}
+
+func TestAFrameCutAnywhereIsIncompleteAndNeverRead(t *testing.T) {
+	whole, err := Append(nil, sample())
+	require.NoError(t, err)
+	for n := range whole {
+		body, rest, err := Split(whole[:n], 1000)
+		assert.NoError(t, err)
+		assert.Nil(t, body)
+		assert.Len(t, rest, n)
+	}
+	body, rest, err := Split(append(whole, 1, 2), 1000)
+	require.NoError(t, err)
+	assert.Equal(t, []byte{1, 2}, rest)
+	f, err := Decode(body)
+	require.NoError(t, err)
+	assert.True(t, proto.Equal(sample(), f))
+	for n := range body {
+		_, err := Decode(body[:n]) // cut inside the length: malformed, or another frame; never a panic
+		if n == 0 {
+			assert.Error(t, err)
+		}
+	}
+}
+
+func TestUnknownFieldsAreIgnoredAndUnknownFramesAreNot(t *testing.T) {
+	body, err := proto.Marshal(sample())
+	require.NoError(t, err)
+	later := append(body, 0xba, 0x3e, 1, 0) // field 999, as a later minor version might add
+	f, err := Decode(later)
+	require.NoError(t, err)
+	assert.Equal(t, uint64(7), f.GetAsk().Ask)
+	_, err = Decode(later[len(body):])
+	assert.ErrorContains(t, err, "holds nothing that version 1.0 knows")
+}
+
+func FuzzFrames(f *testing.F) {
+	whole, err := Append(nil, sample())
+	require.NoError(f, err)
+	f.Add(whole)
+	f.Add([]byte{0xff, 0xff, 0xff, 0xff})
+	f.Add([]byte{0, 0, 0, 0})
+	f.Fuzz(func(t *testing.T, b []byte) {
+		const most = 1 << 12
+		for {
+			body, rest, err := Split(b, most)
+			if err != nil || body == nil {
+				return
+			}
+			assert.LessOrEqual(t, len(body), most)
+			assert.Equal(t, len(b), headSize+len(body)+len(rest))
+			if frame, err := Decode(body); err == nil {
+				again, err := Append(nil, frame)
+				require.NoError(t, err)
+				assert.NotEmpty(t, again)
+			}
+			b = rest
+		}
+	})
+}
+
+// echo answers each ask with as many answers as its key says, and counts what it sees.
+type echo struct {
+	mu     sync.Mutex
+	net    Net
+	opened int
+	asks   int
+	closed []string
+	dialed ConnID
+	dial   string
+}
+
+func (e *echo) Start(_ choice.Millis, n Net) {
+	e.net = n
+	if e.dial != "" {
+		e.dialed = n.Dial(e.dial)
+	}
+}
+func (e *echo) Wake(choice.Millis) {}
+func (e *echo) Opened(choice.Millis, ConnID) {
+	e.mu.Lock()
+	e.opened++
+	e.mu.Unlock()
+}
+func (e *echo) Closed(_ choice.Millis, _ ConnID, why string) {
+	e.mu.Lock()
+	e.closed = append(e.closed, why)
+	e.mu.Unlock()
+}
+func (e *echo) Received(_ choice.Millis, c ConnID, f *pb.Frame) {
+	e.mu.Lock()
+	e.asks++
+	e.mu.Unlock()
+	a := f.GetAsk()
+	if a == nil {
+		return
+	}
+	for range max(1, a.Key) {
+		e.net.Send(c, &pb.Frame{Body: &pb.Frame_Answer{Answer: &pb.Answer{Ask: a.Ask, Reason: a.Group}}})
+	}
+}
+
+func (e *echo) sees(t *testing.T, what func() bool) {
+	t.Helper()
+	require.Eventually(t, func() bool {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		return what()
+	}, 20*time.Second, time.Millisecond)
+}
+
+// ends are the reasons for which connections closed.
+func (e *echo) ends() []string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return append([]string(nil), e.closed...)
+}
+
+func listen(t *testing.T, limits Limits) (*Loop, *echo, string) {
+	t.Helper()
+	l, e := NewLoop(nil), &echo{}
+	addr, err := l.Listen(e, "127.0.0.1:0", limits)
+	require.NoError(t, err)
+	l.Run()
+	t.Cleanup(l.Close)
+	return l, e, addr
+}
+
+func dial(t *testing.T, addr string) net.Conn {
+	t.Helper()
+	c, err := net.Dial("tcp", addr)
+	require.NoError(t, err)
+	t.Cleanup(func() { c.Close() })
+	return c
+}
+
+func write(t *testing.T, c net.Conn, f *pb.Frame) {
+	t.Helper()
+	b, err := Append(nil, f)
+	require.NoError(t, err)
+	_, err = c.Write(b)
+	require.NoError(t, err)
+}
+
+func read(t *testing.T, r io.Reader) (*pb.Frame, error) {
+	t.Helper()
+	var head [headSize]byte
+	if _, err := io.ReadFull(r, head[:]); err != nil {
+		return nil, err
+	}
+	body := make([]byte, binary.BigEndian.Uint32(head[:]))
+	if _, err := io.ReadFull(r, body); err != nil {
+		return nil, err
+	}
+	return Decode(body)
+}
+
+func TestABadFrameEndsItsConnectionOnly(t *testing.T) {
+	l, e, addr := listen(t, Limits{Frame: 1000, Waiting: 1 << 20, Connections: 10})
+	good := dial(t, addr)
+	for _, bad := range [][]byte{{0, 0, 4, 0, 1}, {0xff, 0xff, 0xff, 0xff}, {0, 0, 0, 2, 0xff, 0xff}, {0, 0, 0, 0}} {
+		c := dial(t, addr)
+		_, err := c.Write(bad)
+		require.NoError(t, err)
+		_, err = read(t, c)
+		assert.Error(t, err, "%v", bad)
+	}
+	e.sees(t, func() bool { return len(e.closed) == 4 })
+	assert.Contains(t, e.ends()[0], "over the limit of 1000")
+	assert.Equal(t, uint64(4), l.Stats.BadFrames.Load())
+	write(t, good, sample())
+	f, err := read(t, good)
+	require.NoError(t, err)
+	assert.Equal(t, uint64(7), f.GetAnswer().Ask)
+}
+
+// A frame may arrive in any pieces.
+func TestAFrameInPiecesIsOneFrame(t *testing.T) {
+	_, _, addr := listen(t, DefaultLimits)
+	c := dial(t, addr)
+	b, err := Append(nil, sample())
+	require.NoError(t, err)
+	for i := range b {
+		_, err := c.Write(b[i : i+1])
+		require.NoError(t, err)
+	}
+	_, err = read(t, c)
+	assert.NoError(t, err)
+}
+
+func TestAPeerThatDoesNotReadIsCutOffAndNobodyWaits(t *testing.T) {
+	l, e, addr := listen(t, Limits{Frame: 1 << 20, Waiting: 256 << 10, Connections: 10})
+	slow, quick := dial(t, addr), dial(t, addr)
+	flood := sample()
+	flood.GetAsk().Key, flood.GetAsk().Group = 300, string(make([]byte, 60000))
+	write(t, slow, flood)
+	e.sees(t, func() bool { return len(e.closed) == 1 })
+	assert.Contains(t, e.ends()[0], "does not read")
+	assert.NotZero(t, l.Stats.TooSlow.Load())
+	write(t, quick, sample())
+	_, err := read(t, quick)
+	assert.NoError(t, err)
+}
+
+func TestOneConnectionTooManyIsRefusedWithTheReason(t *testing.T) {
+	l, e, addr := listen(t, Limits{Frame: 1000, Waiting: 1 << 20, Connections: 2})
+	first := dial(t, addr)
+	dial(t, addr)
+	e.sees(t, func() bool { return e.opened == 2 })
+	f, err := read(t, dial(t, addr))
+	require.NoError(t, err)
+	assert.Contains(t, f.GetRefusal().GetReason(), "2 connections stand")
+	assert.Equal(t, uint64(1), l.Stats.TooMany.Load())
+	first.Close()
+	e.sees(t, func() bool { return len(e.closed) == 1 })
+	write(t, dial(t, addr), sample())
+	e.sees(t, func() bool { return e.asks == 1 })
+}
+
+func TestAThousandConnectionsAtOnceAreAllServed(t *testing.T) {
+	_, e, addr := listen(t, DefaultLimits)
+	var wg sync.WaitGroup
+	fails := make(chan error, 1000)
+	for i := range 1000 {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			c, err := net.Dial("tcp", addr)
+			if err != nil {
+				fails <- err
+				return
+			}
+			defer c.Close()
+			a := sample()
+			a.GetAsk().Ask = uint64(i)
+			write(t, c, a)
+			f, err := read(t, bufio.NewReader(c))
+			if err != nil {
+				fails <- err
+			} else if f.GetAnswer().Ask != uint64(i) {
+				fails <- fmt.Errorf("%d got the answer to %d", i, f.GetAnswer().Ask)
+			}
+		}()
+	}
+	wg.Wait()
+	close(fails)
+	for err := range fails {
+		assert.NoError(t, err)
+	}
+	e.sees(t, func() bool { return len(e.closed) == 1000 })
+}
+
+func TestDiallingNobodyIsToldAsAnEnd(t *testing.T) {
+	l, e := NewLoop(nil), &echo{dial: "127.0.0.1:1"}
+	_, err := l.Listen(e, "", DefaultLimits)
+	require.NoError(t, err)
+	l.Run()
+	defer l.Close()
+	e.sees(t, func() bool { return len(e.closed) == 1 })
+	assert.Contains(t, e.ends()[0], "refused")
+	var other echo
+	_, err = l.Listen(&other, "127.0.0.1:99999", DefaultLimits)
+	assert.Error(t, err)
+}
--- a/internal/link/loop.go
+++ b/internal/link/loop.go
@@ -575,8 +575,11 @@
 		}
 		items = append(items, item{kind: itemFrame, sock: s, f: f})
 	}
-	if _, discardErr := c.Discard(len(b) - len(rest)); err == nil {
-		err = discardErr
+	// Discarding nothing would discard all that is there.
+	if used := len(b) - len(rest); used > 0 {
+		if _, discardErr := c.Discard(used); err == nil {
+			err = discardErr
+		}
 	}
 	if len(items) > 0 {
 		e.actor.postFrames(items)
--- /dev/null
+++ b/internal/port/port_test.go
@@ -0,0 +1,450 @@
+package port
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"grebeglade/choice"
+	"grebeglade/internal/link"
+	pb "grebeglade/proto/grebeglade/v1"
+)
+
+// wire is a net that keeps what was sent.
+type wire struct {
+	now    choice.Millis
+	dialed map[string]link.ConnID
+	last   link.ConnID
+	sent   map[link.ConnID][]*pb.Frame
+	closed map[link.ConnID]bool
+	wake   choice.Millis
+}
+
+func (w *wire) Dial(addr string) link.ConnID {
+	w.last++
+	w.dialed[addr] = w.last
+	return w.last
+}
+func (w *wire) Send(c link.ConnID, f *pb.Frame) { w.sent[c] = append(w.sent[c], f) }
+func (w *wire) Close(c link.ConnID)             { w.closed[c] = true }
+func (w *wire) WakeAt(t choice.Millis)          { w.wake = t }
+func (w *wire) Now() choice.Millis              { return w.now }
+
+// take returns what was sent over a connection since the last time.
+func (w *wire) take(c link.ConnID) []*pb.Frame {
+	sent := w.sent[c]
+	delete(w.sent, c)
+	return sent
+}
+
+const (
+	ownerConn link.ConnID = 1000 + iota
+	secondOwner
+	operatorConn
+)
+
+// rig is a port with a list and an owner on its wire.
+type rig struct {
+	*testing.T
+	p    *Port
+	w    *wire
+	now  choice.Millis
+	list link.ConnID
+	rev  uint64
+}
+
+func newRig(t *testing.T, change ...func(*Config)) *rig {
+	w := &wire{dialed: map[string]link.ConnID{}, sent: map[link.ConnID][]*pb.Frame{}, closed: map[link.ConnID]bool{}}
+	group := choice.Group{Target: 1000, Utility: 1, Kind: -1}
+	once, dedup := group, group
+	once.Effect = choice.RunOnce
+	dedup.Effect, dedup.DedupScope, dedup.DedupWindow = choice.Deduplicated, choice.ScopeCell, 5000
+	c := Config{
+		Name: "a", Incarnation: 5, Seed: 1, Groups: []string{"serve", "once", "check"}, Kinds: []string{"k"}, List: "list",
+		Settings: choice.Settings{
+			Allocators: 1, Groups: []choice.Group{group, once, dedup}, Kinds: []choice.Kind{{Cores: 10, Memory: 20}},
+			MaxBinds: 3, RoomInList: true, ReportsUse: true, ColdFor: 10000, ColdBears: 10, OverloadFor: 2000,
+		},
+	}
+	for _, f := range change {
+		f(&c)
+	}
+	r := &rig{T: t, p: New(c), w: w}
+	r.p.Start(0, w)
+	r.list = w.dialed["list"]
+	r.p.Opened(0, r.list)
+	r.from(r.list, link.Hello(&pb.Hello{Role: pb.Role_LIST, Name: "list", Incarnation: 1}))
+	r.owner(ownerConn, "o")
+	return r
+}
+
+func (r *rig) at(now choice.Millis) { r.now, r.w.now = now, now }
+
+func (r *rig) from(c link.ConnID, f *pb.Frame) { r.p.Received(r.now, c, f) }
+
+func (r *rig) owner(c link.ConnID, name string) {
+	r.p.Opened(r.now, c)
+	r.from(c, link.Hello(&pb.Hello{Role: pb.Role_OWNER, Name: name, Incarnation: 1}))
+	r.w.take(c)
+}
+
+// listed has the list tell of one node; kind "" leaves the usual.
+func (r *rig) listed(id uint32, state pb.NodeEntry_State, boot uint64, up float64) {
+	r.rev++
+	r.from(r.list, &pb.Frame{Body: &pb.Frame_ListUpdate{ListUpdate: &pb.ListUpdate{
+		Kind: pb.ListUpdate_CHANGES, Epoch: r.epoch(), Revision: r.rev, Entries: []*pb.NodeEntry{{
+			Id: id, State: state, Kind: "k", Zone: "z", Cell: "c", Boot: boot, UpForMs: up, FreeCores: 10, FreeMemory: 20,
+			Address: addr(id),
+		}},
+	}}})
+}
+
+// epoch has the list begin with a whole answer, once.
+func (r *rig) epoch() uint64 {
+	if r.rev == 1 {
+		r.from(r.list, &pb.Frame{Body: &pb.Frame_ListUpdate{ListUpdate: &pb.ListUpdate{
+			Kind: pb.ListUpdate_WHOLE, Epoch: 1, Revision: 0,
+		}}})
+	}
+	return 1
+}
+
+func addr(id uint32) string { return "node-" + string(rune('0'+id)) }
+
+// node brings a node up: listed, connected, with what stands on it.
+func (r *rig) node(id uint32, boot uint64, standing ...*pb.Standing) link.ConnID {
+	r.listed(id, pb.NodeEntry_READY, boot, -1)
+	return r.connect(id, boot, -1, standing...)
+}
+
+// again waits until a node that was connected is dialled again, and lets the connection come about.
+func (r *rig) again(id uint32, boot uint64, up float64, standing ...*pb.Standing) link.ConnID {
+	for before := r.w.dialed[addr(id)]; r.w.dialed[addr(id)] == before; {
+		r.wake(r.now + 10)
+	}
+	return r.connect(id, boot, up, standing...)
+}
+
+func (r *rig) connect(id uint32, boot uint64, up float64, standing ...*pb.Standing) link.ConnID {
+	c := r.w.dialed[addr(id)]
+	require.NotZero(r, c, "not dialled")
+	r.p.Opened(r.now, c)
+	r.from(c, link.Hello(&pb.Hello{
+		Role: pb.Role_NODE, Name: "n", Node: id, Incarnation: boot, UpForMs: up, Standing: standing,
+	}))
+	return c
+}
+
+func (r *rig) ask(no uint64, group string, change ...func(*pb.Ask)) {
+	a := &pb.Ask{Ask: no, Key: no + 100, Service: 1, Group: group, Cores: 1, Memory: 1, LeftMs: 6000, RunsForMs: 1000}
+	for _, f := range change {
+		f(a)
+	}
+	r.from(ownerConn, &pb.Frame{Body: &pb.Frame_Ask{Ask: a}})
+}
+
+// offer is the one offer that went to a node.
+func (r *rig) offer(c link.ConnID) *pb.Offer {
+	r.Helper()
+	var offers []*pb.Offer
+	for _, f := range r.w.take(c) {
+		if o := f.GetOffer(); o != nil {
+			offers = append(offers, o)
+		}
+	}
+	require.Len(r, offers, 1)
+	return offers[0]
+}
+
+func (r *rig) answers(c link.ConnID, b *pb.BindID, accepted bool, why pb.Why) {
+	r.from(c, &pb.Frame{Body: &pb.Frame_OfferAnswer{OfferAnswer: &pb.OfferAnswer{Bind: b, Accepted: accepted, Why: why}}})
+}
+
+// verdicts are the answers that the owner got, by ask.
+func (r *rig) verdicts() map[uint64]pb.Verdict {
+	got := map[uint64]pb.Verdict{}
+	for _, f := range r.w.take(ownerConn) {
+		if a := f.GetAnswer(); a != nil {
+			_, twice := got[a.Ask]
+			assert.False(r, twice, "answered twice")
+			got[a.Ask] = a.Verdict
+		}
+	}
+	return got
+}
+
+// wake lets time pass, waking the port whenever it asked for it.
+func (r *rig) wake(until choice.Millis) {
+	for r.w.wake <= until {
+		r.at(r.w.wake)
+		r.p.Wake(r.now)
+	}
+	r.at(until)
+	r.p.Wake(until)
+}
+
+func TestAConnectionCutBetweenOfferAndAnswerIsUnclear(t *testing.T) {
+	r := newRig(t)
+	n := r.node(1, 1)
+	r.ask(1, "once")
+	o := r.offer(n)
+	r.p.Closed(5, n, "reset")
+	assert.Equal(t, map[uint64]pb.Verdict{1: pb.Verdict_UNSCHEDULABLE}, r.verdicts())
+	// It was accepted after all: it may have an effect by now, so it stays, and is on our books again.
+	n = r.again(1, 1, -1, &pb.Standing{Offer: o})
+	for _, f := range r.w.take(n) {
+		assert.Nil(t, f.GetStop())
+	}
+	assert.Equal(t, 1, r.p.Held())
+	// A restartable copy that nobody waits for is stopped.
+	r.ask(2, "serve")
+	o = r.offer(n)
+	r.p.Closed(r.now, n, "reset")
+	n = r.again(1, 1, -1, &pb.Standing{Offer: o})
+	assert.Equal(t, o.Bind, r.w.take(n)[1].GetStop().GetBind())
+}
+
+func TestAnswersThatAreNotOursChangeNothing(t *testing.T) {
+	r := newRig(t)
+	n, other := r.node(1, 1), r.node(2, 1)
+	r.ask(1, "serve")
+	to, not := n, other
+	if len(r.w.sent[other]) > len(r.w.sent[n]) {
+		to, not = other, n
+	}
+	o := r.offer(to)
+	r.answers(not, o.Bind, true, 0) // a node that it was never offered to
+	old := &pb.BindID{Allocator: "a", Incarnation: 4, Workload: o.Bind.Workload}
+	r.answers(to, old, true, 0) // of an earlier incarnation of ours
+	r.answers(to, nil, true, 0)
+	r.answers(to, &pb.BindID{Allocator: "b", Incarnation: 5, Workload: o.Bind.Workload}, true, 0)
+	assert.Empty(t, r.verdicts())
+	assert.Equal(t, uint64(4), r.p.Counts.Stray)
+	r.answers(to, o.Bind, true, 0)
+	r.answers(to, o.Bind, false, pb.Why_NO_CORES) // a no after the yes
+	assert.Equal(t, map[uint64]pb.Verdict{1: pb.Verdict_PLACED}, r.verdicts())
+	assert.Equal(t, 1, r.p.Held())
+}
+
+func TestTheSameWorkloadSubmittedTwiceIsPlacedOnce(t *testing.T) {
+	r := newRig(t)
+	n := r.node(1, 1)
+	r.ask(1, "serve")
+	r.ask(1, "serve")
+	r.offer(n)
+	assert.Equal(t, uint64(1), r.p.Counts.Duplicates)
+	r.ask(2, "serve", func(a *pb.Ask) { a.Key = 101 })
+	assert.Equal(t, map[uint64]pb.Verdict{2: pb.Verdict_REJECTED}, r.verdicts())
+}
+
+func TestAnAskThatCannotBeTakenIsTurnedAwayAtOnceWithTheReason(t *testing.T) {
+	r := newRig(t, func(c *Config) { c.MostHeld = 1 })
+	reasons := func() (all []string) {
+		for _, f := range r.w.take(ownerConn) {
+			assert.Equal(t, pb.Verdict_REJECTED, f.GetAnswer().GetVerdict())
+			all = append(all, f.GetAnswer().GetReason())
+		}
+		return all
+	}
+	r.ask(1, "serve", func(a *pb.Ask) { a.LeftMs = 10 })
+	r.wake(2000)
+	assert.Equal(t, []string{"no node is known"}, reasons())
+	n := r.node(1, 1)
+	r.ask(2, "nobody")
+	r.ask(3, "serve", func(a *pb.Ask) { a.Cores = 0 })
+	r.ask(4, "serve", func(a *pb.Ask) { a.Memory = -1 })
+	r.ask(5, "serve", func(a *pb.Ask) { a.LeftMs = 0 })
+	r.ask(6, "serve", func(a *pb.Ask) { a.Cores = 99 })
+	assert.Equal(t, []string{
+		`group "nobody" is not known here; known are ["serve" "once" "check"]`, "cores is 0; it must be above 0",
+		"memory is -1; it must be above 0", "left_ms is 0; it must be above 0", "it is larger than any kind of node",
+	}, reasons())
+	r.ask(7, "serve")
+	r.offer(n)
+	r.ask(8, "serve")
+	assert.Equal(t, []string{"the allocator holds 1 workloads, the most it may"}, reasons())
+	r.p.Shut()
+	r.ask(9, "serve")
+	assert.Equal(t, []string{"the allocator is stopping; ask another"}, reasons())
+	assert.Equal(t, 1, r.p.Pending())
+}
+
+func TestNothingGoesToANodeThatSaidThatItDrains(t *testing.T) {
+	r := newRig(t)
+	n := r.node(1, 1)
+	drains := func(on bool) { r.from(n, &pb.Frame{Body: &pb.Frame_Drain{Drain: &pb.Drain{Draining: on}}}) }
+	drains(true)
+	drains(true)
+	r.listed(1, pb.NodeEntry_READY, 1, -1) // older news than the node's own
+	r.ask(1, "serve")
+	assert.Equal(t, map[uint64]pb.Verdict{1: pb.Verdict_REJECTED}, r.verdicts())
+	drains(false)
+	r.ask(2, "serve")
+	r.offer(n)
+	// It drained while the offer was in its line: it refuses, and that is no harm.
+	drains(true)
+	r.answers(n, &pb.BindID{Allocator: "a", Incarnation: 5, Workload: 2}, false, pb.Why_NOT_HERE)
+	assert.Equal(t, map[uint64]pb.Verdict{2: pb.Verdict_REJECTED}, r.verdicts())
+	// The list's word counts again once the connection is gone; the node itself says more at its next hello.
+	r.p.Closed(r.now, n, "reset")
+	assert.Equal(t, choice.Ready, r.p.nodes[0].told().State)
+}
+
+func TestListNewsOlderThanWhatWasSeenIsPassedOver(t *testing.T) {
+	r := newRig(t)
+	r.node(1, 1)
+	r.listed(1, pb.NodeEntry_DRAINING, 1, -1)
+	r.rev -= 2
+	r.listed(1, pb.NodeEntry_READY, 1, -1)
+	assert.Equal(t, choice.Draining, r.p.nodes[0].entry.State)
+	// Changes of a list that started anew mean nothing without the whole.
+	r.w.take(r.list)
+	r.from(r.list, &pb.Frame{Body: &pb.Frame_ListUpdate{ListUpdate: &pb.ListUpdate{Epoch: 2, Revision: 1}}})
+	assert.NotNil(t, r.w.take(r.list)[0].GetListCall())
+	assert.Len(t, r.p.nodes, 1)
+	r.from(r.list, &pb.Frame{Body: &pb.Frame_ListUpdate{ListUpdate: &pb.ListUpdate{
+		Epoch: 2, Revision: 1, Kind: pb.ListUpdate_WHOLE,
+	}}})
+	assert.Equal(t, choice.Gone, r.p.nodes[0].entry.State, "kept while its connection stands")
+}
+
+// A node that is back tells so in its hello, before the list does: what waited for it was meant for its earlier
+// life, and offers beyond what it bears cold would push it over.
+func TestOffersThatWaitedForANodeDoNotReachItsNextLife(t *testing.T) {
+	r := newRig(t)
+	n := r.node(1, 1)
+	r.p.Closed(10, n, "reset")
+	r.wake(180)
+	r.ask(1, "serve")
+	n = r.connect(1, 2, 0)
+	assert.Empty(t, r.w.take(n)[1:])
+	assert.Equal(t, r.now, r.p.nodes[0].entry.Born)
+	// The list's news of the life before does not undo it.
+	r.listed(1, pb.NodeEntry_DRAINING, 1, -1)
+	assert.Equal(t, choice.Ready, r.p.nodes[0].entry.State)
+	assert.Equal(t, r.now, r.p.nodes[0].entry.Born)
+}
+
+func TestAnOfferWaitsForItsConnectionUnlessItsTimeIsUp(t *testing.T) {
+	r := newRig(t)
+	r.listed(1, pb.NodeEntry_READY, 1, -1)
+	r.ask(1, "serve", func(a *pb.Ask) { a.LeftMs = 100 })
+	r.ask(2, "serve")
+	r.wake(90)
+	assert.Equal(t, map[uint64]pb.Verdict{1: pb.Verdict_REJECTED}, r.verdicts())
+	n := r.connect(1, 1, -1)
+	o := r.offer(n)
+	assert.Equal(t, uint64(2), o.Ask.Ask)
+	assert.InDelta(t, 2990-90, o.AcceptWithinMs, 1)
+}
+
+func TestAnAllocatorThatIsBackAdoptsWhatStands(t *testing.T) {
+	r := newRig(t)
+	bind := &pb.BindID{Allocator: "a", Incarnation: 3, Workload: 9, Number: 1}
+	old := &pb.Standing{Running: true, Offer: &pb.Offer{Bind: bind, Owner: "o", Ask: &pb.Ask{
+		Ask: 77, Key: 5, Service: 1, Group: "once", Cores: 1, Memory: 1,
+	}}}
+	n := r.node(1, 1, old)
+	assert.Equal(t, 1, r.p.Held())
+	r.ask(78, "once", func(a *pb.Ask) { a.Key = 5 })
+	assert.Equal(t, map[uint64]pb.Verdict{78: pb.Verdict_REJECTED}, r.verdicts(), "it stands already")
+	// Told again at the next connection, it is the same one; withdrawn, it is stopped by its own name.
+	r.p.Closed(r.now, n, "reset")
+	n = r.again(1, 1, -1, old)
+	assert.Equal(t, 1, r.p.Held())
+	r.from(ownerConn, &pb.Frame{Body: &pb.Frame_Withdraw{Withdraw: &pb.Withdraw{Ask: 77}}})
+	assert.Equal(t, bind, r.w.take(n)[1].GetStop().GetBind())
+	r.from(n, &pb.Frame{Body: &pb.Frame_End{End: &pb.End{Bind: bind, Why: pb.Why_STOPPED}}})
+	assert.Zero(t, r.p.Held())
+}
+
+// A stop can be lost with the connection that it went over.
+func TestAStopIsRepeatedWhereTheNodeStillNamesTheWorkload(t *testing.T) {
+	r := newRig(t)
+	n := r.node(1, 1)
+	r.ask(1, "serve")
+	o := r.offer(n)
+	r.answers(n, o.Bind, true, 0)
+	r.from(ownerConn, &pb.Frame{Body: &pb.Frame_Withdraw{Withdraw: &pb.Withdraw{Ask: 1}}})
+	assert.NotNil(t, r.w.take(n)[0].GetStop())
+	r.p.Closed(r.now, n, "reset")
+	n = r.again(1, 1, -1, &pb.Standing{Offer: o})
+	assert.Equal(t, o.Bind, r.w.take(n)[1].GetStop().GetBind())
+}
+
+func TestAnOwnerThatIsBackHearsWhatStandsAndWhatWasLost(t *testing.T) {
+	r := newRig(t)
+	n := r.node(1, 1)
+	r.ask(1, "serve")
+	r.answers(n, r.offer(n).Bind, true, 0)
+	r.ask(2, "serve")
+	r.offer(n)
+	r.p.Closed(r.now, ownerConn, "reset")
+	assert.Equal(t, uint64(1), r.p.Counts.Withdrawn, "what was pending can be told no answer")
+	r.p.Opened(r.now, secondOwner)
+	r.from(secondOwner, link.Hello(&pb.Hello{Role: pb.Role_OWNER, Name: "o", Incarnation: 1}))
+	standing := r.w.take(secondOwner)[0].GetHello().Standing
+	require.Len(t, standing, 1)
+	assert.Equal(t, uint64(1), standing[0].Offer.Ask.Ask)
+	r.listed(1, pb.NodeEntry_GONE, 1, -1)
+	r.p.Closed(r.now, n, "reset")
+	assert.Equal(t, pb.Why_LOST, r.w.take(secondOwner)[0].GetOver().Why)
+}
+
+func TestAPeerThatDoesNotSpeakOurWireIsRefusedWithTheReason(t *testing.T) {
+	r := newRig(t)
+	refusal := func(f *pb.Frame) string {
+		r.p.Opened(r.now, secondOwner)
+		r.from(secondOwner, f)
+		assert.True(t, r.w.closed[secondOwner])
+		return r.w.take(secondOwner)[0].GetRefusal().GetReason()
+	}
+	later := link.Hello(&pb.Hello{Role: pb.Role_OWNER, Name: "x"})
+	later.GetHello().Major = 2
+	assert.Equal(t, "version 2.0 is not spoken here; this side speaks 1.x", refusal(later))
+	assert.Equal(t, "the hello names no name", refusal(link.Hello(&pb.Hello{Role: pb.Role_OWNER})))
+	assert.Equal(t, "the first frame must be a hello", refusal(&pb.Frame{Body: &pb.Frame_Probe{Probe: &pb.Probe{}}}))
+	assert.Contains(t, refusal(link.Hello(&pb.Hello{Role: pb.Role_LIST, Name: "l"})), "not the role LIST")
+	// A second connection under one name takes over; another node's answer at a node's address is not used.
+	r.owner(secondOwner, "o")
+	assert.True(t, r.w.closed[ownerConn])
+	r.listed(1, pb.NodeEntry_READY, 1, -1)
+	c := r.w.dialed[addr(1)]
+	r.p.Opened(r.now, c)
+	r.from(c, link.Hello(&pb.Hello{Role: pb.Role_NODE, Name: "n", Node: 2, Incarnation: 1}))
+	assert.True(t, r.w.closed[c])
+}
+
+// Frames that waited while the process stood still are older than they look.
+func TestAnAskThatMayHaveWaitedThroughAStandstillHasLessTimeLeft(t *testing.T) {
+	r := newRig(t)
+	n := r.node(1, 1)
+	r.wake(100)
+	r.at(3100)
+	r.ask(1, "once")
+	assert.InDelta(t, 3000-20, r.offer(n).AcceptWithinMs, 1)
+}
+
+func TestOperatorsSeeWhatTheAllocatorGoesBy(t *testing.T) {
+	r := newRig(t)
+	n := r.node(1, 1)
+	r.ask(1, "serve")
+	r.answers(n, r.offer(n).Bind, true, 0)
+	r.ask(2, "serve")
+	r.answers(n, r.offer(n).Bind, false, pb.Why_NO_CORES)
+	r.ask(3, "serve", func(a *pb.Ask) { a.Cores = 0.5 })
+	r.p.Opened(r.now, operatorConn)
+	r.from(operatorConn, link.Hello(&pb.Hello{Role: pb.Role_OPERATOR}))
+	state := func(w pb.Query_What) *pb.State {
+		r.w.take(operatorConn)
+		r.from(operatorConn, &pb.Frame{Body: &pb.Frame_Query{Query: &pb.Query{What: w}}})
+		return r.w.take(operatorConn)[0].GetState()
+	}
+	wls := state(pb.Query_WORKLOADS).Workloads
+	require.Len(t, wls, 2)
+	assert.Equal(t, []string{"placed", "pending"}, []string{wls[0].State, wls[1].State})
+	nodes := state(pb.Query_NODES).Nodes
+	assert.Equal(t, []uint32{1, 1}, []uint32{nodes[0].Residents, nodes[0].BindsOut})
+	assert.Equal(t, "open", nodes[0].Connection)
+}
