Measure the module, the engine and the path over sockets in one run; stand-ins by hand

'grebeglade bench' times a workload's whole way with the module alone, the engine beside it and the whole path over loopback, and the memory of residents.

--- /dev/null
+++ b/internal/bench/bench.go
@@ -0,0 +1,204 @@
+// Package bench measures how fast an allocator decides: the module alone, the engine beside it, and the whole
+// path over loopback sockets, in one run, so that the ratios hold on any machine.
+package bench
+
+import (
+	"fmt"
+	"runtime"
+	"slices"
+	"time"
+
+	"grebeglade/choice"
+	"grebeglade/internal/allocator"
+	"grebeglade/internal/record"
+)
+
+// Fleet is what decisions are measured on: nodes of 64 cores, each with residents of ours.
+type Fleet struct{ Nodes, Residents int }
+
+const (
+	cores, memory = 64, 256
+	services      = 50
+	rounds        = 5 // of each, in turn; the median counts
+)
+
+// Rates are decisions a second at one size, and the ratios to the module alone.
+type Rates struct {
+	Nodes         int     `json:"nodes"`
+	Residents     int     `json:"residents"`
+	Module        float64 `json:"module_per_second"`
+	Engine        float64 `json:"engine_per_second"`
+	EngineRatio   float64 `json:"engine_ratio"`
+	Sockets       float64 `json:"sockets_per_second,omitempty"`
+	SocketsRatio  float64 `json:"sockets_ratio,omitempty"`
+	OfferMedianMs float64 `json:"ask_to_offer_median_ms,omitempty"` // at half of the sockets' rate
+	Offer99Ms     float64 `json:"ask_to_offer_p99_ms,omitempty"`
+	LateSends     int     `json:"late_sends"` // asks that the tool itself sent over 1 ms late
+}
+
+func settings(allocators int) choice.Settings {
+	return choice.Settings{
+		Allocators: allocators, Kinds: []choice.Kind{{Cores: cores, Memory: memory}}, MaxBinds: 3, RoomInList: true,
+		ReportsUse: true, ColdFor: 15e3, ColdBears: 24, OverloadFor: 2e3,
+		Groups: []choice.Group{{Target: 1e3, Utility: 1, Calm: 0.8, Fade: 0.2, Kind: -1}},
+	}
+}
+
+func (f Fleet) entries() []choice.Node {
+	nodes := make([]choice.Node, f.Nodes)
+	for i := range nodes {
+		nodes[i] = choice.Node{
+			ID: choice.NodeID(i + 1), Cell: choice.CellID(i / 8), Born: choice.LongAgo,
+			FreeCores: cores / 2, FreeMemory: memory / 2,
+		}
+	}
+	return nodes
+}
+
+func workload(id choice.WorkloadID) choice.Workload {
+	return choice.Workload{ID: id, Service: choice.ServiceID(id % services), Cores: 0.5, Memory: 1, Left: 6000}
+}
+
+var load = choice.Load{SpareCores: cores * 0.6, SpareMemory: memory * 0.6, Backlog: 0, Utilization: 0.4}
+
+// module carries workloads from ask to end with the module alone, and returns how many a second.
+func (f Fleet) module(long time.Duration) float64 {
+	a := choice.New(settings(1), 1)
+	a.List(0, choice.Whole, f.entries())
+	id := choice.WorkloadID(0)
+	for n := range f.Nodes {
+		for range f.Residents {
+			id++
+			a.Adopt(0, workload(id), choice.NodeID(n+1))
+		}
+	}
+	return f.rate(long, func(now choice.Millis, id choice.WorkloadID) {
+		s := a.Place(now, workload(id))
+		l := load
+		if s.Kind == choice.Bind {
+			s = s.Next(now, choice.Result{Kind: choice.Confirmed, Load: &l})
+			s.Next(now, choice.Result{Kind: choice.Ended})
+		}
+	}, func(now choice.Millis) { a.Upkeep(now) }, id)
+}
+
+// rate calls one for workload after workload, a millisecond of the module's time apart.
+func (f Fleet) rate(
+	long time.Duration, one func(choice.Millis, choice.WorkloadID), chores func(choice.Millis), id choice.WorkloadID,
+) float64 {
+	began, n := time.Now(), 0
+	for now := choice.Millis(0); ; now++ {
+		if int(now)%250 == 0 {
+			chores(now)
+		}
+		id++
+		n++
+		one(now, id)
+		if n%64 == 0 && time.Since(began) > long {
+			return float64(n) / time.Since(began).Seconds()
+		}
+	}
+}
+
+// nowhere is a world that remembers the last bind only.
+type nowhere struct {
+	node choice.NodeID
+	bind int
+}
+
+func (w *nowhere) Bind(_ choice.WorkloadID, bind int, n choice.NodeID, _ choice.Millis) {
+	w.bind, w.node = bind, n
+}
+func (*nowhere) Stop(choice.WorkloadID, int, choice.NodeID, allocator.Why, bool) {}
+func (*nowhere) Probe(choice.NodeID)                                             {}
+func (*nowhere) Watch()                                                          {}
+func (*nowhere) Answer(choice.WorkloadID, allocator.Verdict, choice.NodeID)      {}
+func (*nowhere) Ended(choice.WorkloadID, choice.NodeID, bool, choice.Reason)     {}
+func (*nowhere) Dropped(choice.WorkloadID)                                       {}
+func (*nowhere) Wake(choice.Millis)                                              {}
+
+// engine does the same through the engine, with its record and its timers.
+func (f Fleet) engine(long time.Duration) float64 {
+	w := &nowhere{}
+	e := allocator.New(settings(1), 1, w, allocator.Options{TimesOut: true, Log: record.NewLog(1 << 14)})
+	e.Start(0)
+	e.List(0, choice.Whole, f.entries())
+	id := choice.WorkloadID(0)
+	for n := range f.Nodes {
+		for range f.Residents {
+			id++
+			e.Adopt(0, workload(id), choice.NodeID(n+1))
+		}
+	}
+	return f.rate(long, func(now choice.Millis, id choice.WorkloadID) {
+		l := load
+		e.Ask(now, workload(id))
+		e.Confirmed(now, id, w.bind, &l)
+		e.Settled(now, id, w.bind, w.node, choice.Result{Kind: choice.Ended})
+	}, e.Tick, id)
+}
+
+// Measure measures one size, each part in turn, several times over.
+func Measure(f Fleet, long time.Duration, sockets bool) (Rates, error) {
+	r := Rates{Nodes: f.Nodes, Residents: f.Residents}
+	var modules, engines, overSockets, ratios, socketRatios []float64
+	for range rounds {
+		m, e := f.module(long), f.engine(long)
+		modules, engines, ratios = append(modules, m), append(engines, e), append(ratios, e/m)
+		if sockets {
+			s, err := f.sockets(long)
+			if err != nil {
+				return r, err
+			}
+			overSockets, socketRatios = append(overSockets, s), append(socketRatios, s/m)
+		}
+	}
+	r.Module, r.Engine, r.EngineRatio = median(modules), median(engines), median(ratios)
+	if !sockets {
+		return r, nil
+	}
+	r.Sockets, r.SocketsRatio = median(overSockets), median(socketRatios)
+	waits, late, err := f.latency(2*long, r.Sockets/2)
+	if err != nil {
+		return r, err
+	}
+	r.OfferMedianMs, r.Offer99Ms, r.LateSends = waits.median, waits.p99, late
+	return r, nil
+}
+
+func median(v []float64) float64 {
+	v = slices.Sorted(slices.Values(v))
+	return v[len(v)/2]
+}
+
+// Memory is what an allocator holds for its residents.
+type Memory struct {
+	Residents int     `json:"residents"`
+	Bytes     uint64  `json:"bytes"`
+	Each      float64 `json:"bytes_each"`
+}
+
+// Held measures the memory of so many residents, on the wire's side too.
+func Held(residents int) (Memory, error) {
+	before := live()
+	p, err := filled(residents)
+	if err != nil {
+		return Memory{}, err
+	}
+	after := live()
+	if p.Held() != residents {
+		return Memory{}, fmt.Errorf("%d of %d workloads are held", p.Held(), residents)
+	}
+	runtime.KeepAlive(p)
+	m := Memory{Residents: residents, Bytes: after - min(before, after)}
+	m.Each = float64(m.Bytes) / float64(residents)
+	return m, nil
+}
+
+func live() uint64 {
+	runtime.GC()
+	runtime.GC()
+	var s runtime.MemStats
+	runtime.ReadMemStats(&s)
+	return s.HeapAlloc
+}
--- a/internal/command/lab.go
+++ b/internal/command/lab.go
@@ -19,7 +19,7 @@
 
 func labCommand() *cobra.Command {
 	c := &cobra.Command{Use: "lab", Short: "Play days of trouble with stand-ins for nodes, list and owners"}
-	c.AddCommand(labListCommand(), labPlayCommand())
+	c.AddCommand(labListCommand(), labPlayCommand(), labFleetCommand())
 	return c
 }
 
@@ -177,6 +177,40 @@
 	}
 }
 
+func labFleetCommand() *cobra.Command {
+	var script, list string
+	var nodes int
+	var seed uint64
+	c := &cobra.Command{
+		Use:   "fleet",
+		Short: "Run stand-ins for the machine list and nodes, for an allocator started by hand",
+		Long: "Runs the machine list and the nodes of a day script on loopback until it is stopped, so that\n" +
+			"'grebeglade serve' has something to place on. Nothing goes wrong by itself; stop and start it to see what\n" +
+			"allocators do then.",
+		Args: cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			s, err := lab.Open(script)
+			if err != nil {
+				return err
+			}
+			s.Resize(0, max(0, nodes))
+			loop, addr, err := lab.StandFleet(s, seed, list, nil)
+			if err != nil {
+				return failure{err}
+			}
+			defer loop.Close()
+			fmt.Fprintf(c.OutOrStdout(), "%d nodes run; the machine list answers at %s\n", s.Nodes(), addr)
+			<-c.Context().Done()
+			return nil
+		},
+	}
+	c.Flags().StringVar(&script, "script", "quiet", "whose nodes to run")
+	c.Flags().StringVar(&list, "list", "127.0.0.1:7071", "where the machine list listens")
+	c.Flags().IntVar(&nodes, "nodes", 0, "so many nodes instead of the script's")
+	c.Flags().Uint64Var(&seed, "seed", 1, "seed of what the nodes are like")
+	return c
+}
+
 func demoCommand() *cobra.Command {
 	var length time.Duration
 	var asJSON bool
--- a/internal/lab/day.go
+++ b/internal/lab/day.go
@@ -89,13 +89,7 @@
 
 // NewDay brings the script's parties to the host and plans its faults.
 func NewDay(s *Script, o Options, host Host, w Witness, now choice.Millis) (*Day, error) {
-	d := &Day{
-		script: s, opts: o, host: host, w: w, rng: rand.New(rand.NewPCG(o.Seed, 77)), begins: now + 1500,
-		fell: make(chan struct{}, s.Nodes()*100+1),
-	}
-	if d.opts.Log == nil {
-		d.opts.Log = slog.New(slog.DiscardHandler)
-	}
+	d := newDay(s, o, host, w, now)
 	if err := d.populate(); err != nil {
 		return nil, err
 	}
@@ -106,15 +100,25 @@
 	return d, nil
 }
 
+func newDay(s *Script, o Options, host Host, w Witness, now choice.Millis) *Day {
+	if o.Log == nil {
+		o.Log = slog.New(slog.DiscardHandler)
+	}
+	return &Day{
+		script: s, opts: o, host: host, w: w, rng: rand.New(rand.NewPCG(o.Seed, 77)), begins: now + 1500,
+		fell: make(chan struct{}, s.Nodes()*100+1),
+	}
+}
+
 func (d *Day) zone(i int) string { return d.script.Zones[i%len(d.script.Zones)] }
 
-func (d *Day) populate() error {
+func (d *Day) newList() *Gate {
+	return NewGate("list", pb.Role_LIST, 0, d.w, func(inc uint64) link.Party { return NewList(&d.script.List, inc) })
+}
+
+// addNodes brings the nodes in. Kinds and halls are dealt out by chance, so that no hall is of one kind.
+func (d *Day) addNodes(list string) error {
 	s := d.script
-	d.list = NewGate("list", pb.Role_LIST, 0, d.w, func(inc uint64) link.Party { return NewList(&s.List, inc) })
-	list, err := d.host.Add(d.list, d.zone(0))
-	if err != nil {
-		return err
-	}
 	for k, count := range s.Counts {
 		for range count {
 			i := len(d.specs)
@@ -124,7 +128,6 @@
 			})
 		}
 	}
-	// Kinds and halls are dealt out by chance, so that no hall is of one kind.
 	d.rng.Shuffle(len(d.specs), func(i, j int) { d.specs[i], d.specs[j] = d.specs[j], d.specs[i] })
 	for i, spec := range d.specs {
 		spec.Zone = d.zone(i)
@@ -133,6 +136,19 @@
 			return err
 		}
 	}
+	return nil
+}
+
+func (d *Day) populate() error {
+	s := d.script
+	d.list = d.newList()
+	list, err := d.host.Add(d.list, d.zone(0))
+	if err != nil {
+		return err
+	}
+	if err := d.addNodes(list); err != nil {
+		return err
+	}
 	owner := s.Owner
 	for i := range s.Allocators {
 		g := d.allocator(i, list)
