--- a/config/config.go
+++ b/config/config.go
@@ -21,6 +21,7 @@
 	Kinds    []string // names, in the order of Settings.Kinds
 	Limits   Limits
 	Log      Log
+	Trace    Trace
 }
 
 // Limits bound what peers can make an allocator hold.
@@ -31,6 +32,14 @@
 	Waiting     int64 // bytes that wait to be written to one peer
 }
 
+// Trace says where calls and decisions are recorded, and how much of them is kept.
+type Trace struct {
+	Dir   string // "" for nowhere
+	File  int64  // bytes of one file
+	Age   choice.Millis
+	Total int64 // bytes of all files
+}
+
 // Log says how to log.
 type Log struct{ Level, Format string }
 
@@ -73,6 +82,13 @@
 		Level:  log.Word("level", "info", "debug", "info", "warn", "error"),
 		Format: log.Word("format", "text", "text", "json"),
 	}
+	tr := b.Block("trace")
+	a.Trace = Trace{
+		Dir: tr.Text("dir", ""), File: tr.Size("file", 64<<20), Age: tr.Time("age", 3600e3), Total: tr.Size("total", 1<<30),
+	}
+	if a.Trace.Total < a.Trace.File {
+		tr.Problem("total", "total is less than one file may be", "write a larger total, or a smaller file")
+	}
 	ReadShared(b, &a.Settings, &a.Kinds, &a.Groups)
 	return a, b.Done()
 }
--- a/internal/allocator/engine.go
+++ b/internal/allocator/engine.go
@@ -57,6 +57,17 @@
 	Wake(at choice.Millis)
 }
 
+// Module is where workloads go: choice.Allocator, or one that writes down its calls.
+type Module interface {
+	Place(choice.Millis, choice.Workload) choice.Step
+	Adopt(choice.Millis, choice.Workload, choice.NodeID) choice.Step
+	List(choice.Millis, choice.ListKind, []choice.Node)
+	Report(choice.Millis, choice.NodeID, choice.Load)
+	Probed(choice.Millis, choice.NodeID, bool, *choice.Load)
+	Note(choice.Millis, choice.WorkloadID, choice.NoteKind, float64)
+	Upkeep(choice.Millis) choice.Chores
+}
+
 // held is one workload that the module has not let go of.
 type held struct {
 	id        choice.WorkloadID
@@ -75,7 +86,7 @@
 
 // Engine is one allocator.
 type Engine struct {
-	module   *choice.Allocator
+	module   Module
 	groups   []choice.Group
 	world    World
 	log      *record.Log
@@ -90,12 +101,16 @@
 type Options struct {
 	TimesOut bool        // binds time out here; else the world reports their time-outs
 	Log      *record.Log // may be nil
+	Module   Module      // nil for a module made from the settings and the seed
 }
 
 // New makes an engine. Start must be called first.
 func New(s choice.Settings, seed uint64, w World, o Options) *Engine {
+	if o.Module == nil {
+		o.Module = choice.New(s, seed)
+	}
 	return &Engine{
-		module: choice.New(s, seed), groups: s.Groups, world: w, log: o.Log, timesOut: o.TimesOut,
+		module: o.Module, groups: s.Groups, world: w, log: o.Log, timesOut: o.TimesOut,
 		held: map[choice.WorkloadID]*held{},
 	}
 }
--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -42,7 +42,7 @@
 	root.SetOut(stdout)
 	root.SetErr(stderr)
 	root.AddCommand(serveCommand(), demoCommand(), submitCommand(), workloadsCommand(), nodesCommand(),
-		configCommand(), labCommand(), benchCommand())
+		configCommand(), labCommand(), traceCommand(), benchCommand())
 	err := root.ExecuteContext(ctx)
 	var failed failure
 	switch {
--- a/internal/command/lab.go
+++ b/internal/command/lab.go
@@ -96,6 +96,7 @@
 	f.Float64Var(&rate, "rate", 0, "so many new workloads a second instead of the script's")
 	f.DurationVar(&length, "for", 0, "another length of the day; the faults follow")
 	f.StringVar(&sabotage, "break", "", "let the allocators break a rule on purpose, to see the auditor catch it")
+	f.StringVar(&o.Trace, "trace", "", "record each allocator into a directory of its own below this one")
 	f.BoolVar(&verbose, "verbose", false, "show the allocators' log")
 	jsonFlag(c, &asJSON)
 	return c
@@ -214,7 +215,7 @@
 func demoCommand() *cobra.Command {
 	var length time.Duration
 	var asJSON bool
-	var seed uint64
+	var o lab.Options
 	c := &cobra.Command{
 		Use:   "demo",
 		Short: "Play a rough day on loopback sockets, with no file and no other program",
@@ -231,7 +232,7 @@
 				return err
 			}
 			s.Stretch(choice.Millis(float64(length) / 1e6))
-			r, err := playDay(c, s, lab.Options{Seed: seed}, false)
+			r, err := playDay(c, s, o, false)
 			if err != nil {
 				return err
 			}
@@ -239,7 +240,8 @@
 		},
 	}
 	c.Flags().DurationVar(&length, "for", 20*time.Second, "how long owners ask for workloads")
-	c.Flags().Uint64Var(&seed, "seed", 1, "seed of the faults and of what is asked for")
+	c.Flags().StringVar(&o.Trace, "trace", "", "record each allocator into a directory of its own below this one")
+	c.Flags().Uint64Var(&o.Seed, "seed", 1, "seed of the faults and of what is asked for")
 	jsonFlag(c, &asJSON)
 	return c
 }
--- a/internal/command/serve.go
+++ b/internal/command/serve.go
@@ -14,7 +14,7 @@
 )
 
 func serveCommand() *cobra.Command {
-	var file string
+	var file, traceDir string
 	var grace time.Duration
 	c := &cobra.Command{
 		Use:   "serve --config FILE",
@@ -27,6 +27,9 @@
 			if err != nil {
 				return err
 			}
+			if traceDir != "" {
+				conf.Trace.Dir = traceDir
+			}
 			d, err := daemon.Start(conf, daemon.Logger(conf.Log, c.ErrOrStderr()))
 			if err != nil {
 				return failure{err}
@@ -44,6 +47,7 @@
 		},
 	}
 	c.Flags().StringVar(&file, "config", "", "the allocator's settings, in HCL")
+	c.Flags().StringVar(&traceDir, "trace", "", "record calls and decisions into files of this directory")
 	c.Flags().DurationVar(&grace, "grace", time.Minute, "how long it may take to answer what is held")
 	if err := c.MarkFlagRequired("config"); err != nil {
 		panic(err)
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -15,6 +15,8 @@
 	"grebeglade/config"
 	"grebeglade/internal/link"
 	"grebeglade/internal/port"
+	"grebeglade/trace"
+	"grebeglade/trace/tracepb"
 )
 
 const lookEvery = 20 * time.Millisecond // while it waits for the last answers
@@ -25,6 +27,8 @@
 	loop *link.Loop
 	port *port.Port
 	log  *slog.Logger
+
+	recorder *trace.Recorder // nil without a trace
 }
 
 // Logger makes the logger that the configuration asks for.
@@ -48,17 +52,29 @@
 	}
 	log = log.With("allocator", c.Name)
 	d := &Daemon{loop: link.NewLoop(log), log: log}
-	d.port = port.New(port.Config{
+	pc := port.Config{
 		Name: c.Name, Incarnation: uint64(time.Now().UnixNano()), Seed: binary.LittleEndian.Uint64(seed[:]),
 		Settings: c.Settings, Groups: c.Groups, Kinds: c.Kinds, Zone: c.Zone, List: c.List,
-		MostHeld: c.Limits.Workloads, Log: log,
-	})
+		MostHeld: c.Limits.Workloads, Log: log, Wall: float64(time.Now().UnixNano())/1e6 - float64(d.loop.Now()),
+	}
+	if c.Trace.Dir != "" {
+		source := &tracepb.Source{Allocator: pc.Name, Incarnation: pc.Incarnation, WallMs: pc.Wall}
+		r, err := trace.NewRecorder(c.Trace.Dir, source, trace.Limits{
+			FileBytes: c.Trace.File, FileAge: time.Duration(float64(c.Trace.Age) * 1e6), TotalBytes: c.Trace.Total,
+		}, log)
+		if err != nil {
+			return nil, err
+		}
+		d.recorder, pc.Trace = r, r
+	}
+	d.port = port.New(pc)
 	limits := link.Limits{
 		Frame: int(c.Limits.Frame), Waiting: int(c.Limits.Waiting), Connections: c.Limits.Connections,
 	}
 	addr, err := d.loop.Listen(d.port, c.Listen, limits)
 	if err != nil {
 		d.loop.Close()
+		d.endTrace()
 		return nil, err
 	}
 	d.Addr = addr
@@ -83,12 +99,21 @@
 		}
 	}
 	d.loop.Close()
+	d.endTrace()
 	c := d.port.Counts
 	d.log.Info("stopped", "unanswered", left, "asks", c.Asks, "placed", c.Placed, "rejected", c.Rejected,
 		"turned", c.Turned, "unschedulable", c.Unschedulable, "withdrawn", c.Withdrawn)
 	return left
 }
 
+// endTrace writes what is left of the trace, once the port has come to rest.
+func (d *Daemon) endTrace() {
+	if d.recorder != nil {
+		d.port.FlushTrace()
+		d.recorder.Close()
+	}
+}
+
 func (d *Daemon) pending() (n int) {
 	d.loop.Ask(d.port, func(choice.Millis) { n = d.port.Pending() })
 	return n
--- a/internal/lab/day.go
+++ b/internal/lab/day.go
@@ -6,7 +6,10 @@
 	"log/slog"
 	"math"
 	"math/rand/v2"
+	"path/filepath"
 	"slices"
+	"sync"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -14,6 +17,8 @@
 	"grebeglade/internal/link"
 	"grebeglade/internal/port"
 	pb "grebeglade/proto/grebeglade/v1"
+	"grebeglade/trace"
+	"grebeglade/trace/tracepb"
 )
 
 const settleFor = choice.Millis(2e3) // ms after the last answer for what is still under way
@@ -23,6 +28,7 @@
 	Seed     uint64
 	Sabotage Sabotage // an engine that breaks a rule on purpose
 	Log      *slog.Logger
+	Trace    string // directory that takes a trace of each allocator, in one of its own; "" for none
 }
 
 // Result is what came of a day. Every ask ends in one of Placed, Rejected, Unschedulable, Withdrawn (by its
@@ -76,6 +82,11 @@
 	ports  [][]*port.Port // by allocator, one for each life
 	begins choice.Millis  // when owners begin: nodes and allocators know of each other by then
 	fell   chan struct{}  // one for each node that fell over
+
+	wall      float64    // Unix time, in ms, at which the host's clock stood at 0
+	mu        sync.Mutex // recorders are begun on the allocators' goroutines
+	recorders []*trace.Recorder
+	traceErr  error
 }
 
 // Terms are what the script's day is audited by.
@@ -104,10 +115,14 @@
 	if o.Log == nil {
 		o.Log = slog.New(slog.DiscardHandler)
 	}
-	return &Day{
+	d := &Day{
 		script: s, opts: o, host: host, w: w, rng: rand.New(rand.NewPCG(o.Seed, 77)), begins: now + 1500,
 		fell: make(chan struct{}, s.Nodes()*100+1),
 	}
+	if _, virtual := host.(*Virtual); !virtual {
+		d.wall = float64(time.Now().UnixNano())/1e6 - float64(now)
+	}
+	return d
 }
 
 func (d *Day) zone(i int) string { return d.script.Zones[i%len(d.script.Zones)] }
@@ -202,17 +217,59 @@
 	}
 	name := fmt.Sprintf("allocator-%d", i+1)
 	d.ports = append(d.ports, nil)
+	var recorder *trace.Recorder
 	return NewGate(name, pb.Role_ALLOCATOR, i, d.w, func(inc uint64) link.Party {
-		p := port.New(port.Config{
+		c := port.Config{
 			Name: name, Incarnation: inc, Seed: hashOf(d.opts.Seed, uint64(i)<<20|inc), Settings: settings,
 			Groups: s.Groups, Kinds: s.Kinds, Zone: d.zone(i), List: list, MostHeld: s.Limits.Workloads,
-			Log: d.opts.Log.With("allocator", name),
-		})
+			Log: d.opts.Log.With("allocator", name), Wall: d.wall,
+		}
+		if d.opts.Trace != "" {
+			if lives := d.ports[i]; len(lives) > 0 {
+				lives[len(lives)-1].FlushTrace()
+			}
+			if recorder = d.record(recorder, c); recorder != nil {
+				c.Trace = recorder
+			}
+		}
+		p := port.New(c)
 		d.ports[i] = append(d.ports[i], p)
 		return d.opts.Sabotage.around(p)
 	})
 }
 
+// record begins the trace of an allocator's life, after the end of the one before.
+func (d *Day) record(before *trace.Recorder, c port.Config) *trace.Recorder {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if before != nil {
+		before.Close()
+		d.recorders = slices.DeleteFunc(d.recorders, func(r *trace.Recorder) bool { return r == before })
+	}
+	source := &tracepb.Source{Allocator: c.Name, Incarnation: c.Incarnation, WallMs: c.Wall}
+	r, err := trace.NewRecorder(filepath.Join(d.opts.Trace, c.Name), source, trace.DefaultLimits, c.Log)
+	if err != nil {
+		d.traceErr = err
+		return nil
+	}
+	_, r.Waits = d.host.(*Virtual)
+	d.recorders = append(d.recorders, r)
+	return r
+}
+
+// endTraces writes what is left of the traces, once the parties have come to rest.
+func (d *Day) endTraces() error {
+	for _, lives := range d.ports {
+		if len(lives) > 0 {
+			lives[len(lives)-1].FlushTrace()
+		}
+	}
+	for _, r := range d.recorders {
+		r.Close()
+	}
+	return d.traceErr
+}
+
 // hashOf mixes two numbers into one that looks like chance.
 func hashOf(a, b uint64) uint64 {
 	var buf [16]byte
--- a/internal/lab/play.go
+++ b/internal/lab/play.go
@@ -29,6 +29,9 @@
 	v.Run(d.Ends(), func() bool { return d.Open() == 0 })
 	v.Run(v.Now()+settleFor, func() bool { return false })
 	a.Finish(v.Now())
+	if err := d.endTraces(); err != nil {
+		return nil, err
+	}
 	r := d.Result(a)
 	r.Virtual = true
 	r.RanSeconds = time.Since(began).Seconds()
@@ -75,6 +78,9 @@
 	case <-time.After(time.Duration(float64(settleFor) * 1e6)):
 	}
 	loop.Close()
+	if err := d.endTraces(); err != nil {
+		return nil, err
+	}
 	a := NewAuditor(s.Terms())
 	seen.replay(a)
 	a.Finish(loop.Now())
--- a/internal/port/list.go
+++ b/internal/port/list.go
@@ -98,6 +98,9 @@
 		return
 	}
 	p.list.epoch, p.list.have = u.Epoch, u.Revision
+	if p.tap != nil {
+		p.tap.Heard(now, u.Epoch, u.Revision)
+	}
 	p.listed(now, u)
 }
 
--- a/internal/port/nodes.go
+++ b/internal/port/nodes.go
@@ -183,6 +183,9 @@
 	if !held {
 		p.keys[wl.ask.Key] = w.ID
 	}
+	if p.tap != nil {
+		p.tap.Asked(now, w.ID, wl.owner, wl.ask.Ask, wl.ask.Key)
+	}
 	p.engine.Adopt(now, w, n.id)
 	if s.Running {
 		p.engine.Note(now, w.ID, 0, choice.Running, 1)
@@ -235,6 +238,9 @@
 		p.Counts.Stray++
 	default:
 		n.refusal = a.Text
+		if p.tap != nil && a.Text != "" {
+			p.tap.Refused(now, id, n.id, a.Text)
+		}
 		p.engine.Settled(now, id, bind, n.id, choice.Result{
 			Kind: choice.Declined, Reason: reasonOf(a.Why), Over: p.wls[id].stopped, Load: load(a.Load),
 		})
--- a/internal/port/port.go
+++ b/internal/port/port.go
@@ -18,7 +18,9 @@
 	"grebeglade/internal/allocator"
 	"grebeglade/internal/link"
 	"grebeglade/internal/record"
+	"grebeglade/internal/replay"
 	pb "grebeglade/proto/grebeglade/v1"
+	"grebeglade/trace/tracepb"
 )
 
 const (
@@ -46,6 +48,8 @@
 	MostHeld    int    // workloads pending and placed; 0 for no limit
 	RecordSize  int
 	Log         *slog.Logger
+	Trace       replay.Sink // takes every call of the module; nil for none
+	Wall        float64     // Unix time, in ms, at which the clock stood at 0; only the trace needs it
 }
 
 // Counts are what an allocator did since its start.
@@ -145,6 +149,7 @@
 	stood   choice.Millis // how long the process stood still, at most
 	stoodTo choice.Millis
 	list    listLink
+	tap     *replay.Tap // nil without a trace
 	closing bool
 	lostNow bool // the engine is told of losses, not of ends
 	pending int  // workloads without a final answer
@@ -168,10 +173,25 @@
 		p.groups[g] = i
 	}
 	c.Settings.Zone = 0
-	p.engine = allocator.New(c.Settings, c.Seed, (*world)(p), allocator.Options{TimesOut: true, Log: p.record})
+	o := allocator.Options{TimesOut: true, Log: p.record}
+	if c.Trace != nil {
+		p.tap = replay.NewTap(replay.Began{
+			Source:   &tracepb.Source{Allocator: c.Name, Incarnation: c.Incarnation, WallMs: c.Wall},
+			Settings: c.Settings, Seed: c.Seed, Groups: c.Groups, Kinds: c.Kinds, Zones: []string{c.Zone},
+		}, c.Trace)
+		o.Module = p.tap
+	}
+	p.engine = allocator.New(c.Settings, c.Seed, (*world)(p), o)
 	return p
 }
 
+// FlushTrace hands over what the trace has not been handed yet.
+func (p *Port) FlushTrace() {
+	if p.tap != nil {
+		p.tap.Flush()
+	}
+}
+
 // Record is what happened, by revision.
 func (p *Port) Record() *record.Log { return p.record }
 
@@ -391,6 +411,9 @@
 	p.asks[askID{owner, a.Ask}] = id
 	p.keys[a.Key] = id
 	p.pending++
+	if p.tap != nil {
+		p.tap.Asked(now, id, owner, a.Ask, a.Key)
+	}
 	w := p.workload(id, a)
 	if now-p.stoodTo < stoodAfter {
 		w.Left -= p.stood
@@ -565,6 +588,9 @@
 		p.Counts.Unschedulable++
 		verdict, reason = pb.Verdict_UNSCHEDULABLE, "a bind was not answered; it may have run"
 	}
+	if p.tap != nil {
+		p.tap.Answered(p.now, id, uint8(v), node, reason)
+	}
 	if c, ok := p.owners[wl.owner]; ok {
 		p.answer(c, wl.ask.Ask, verdict, node, reason)
 	}
