--- a/internal/bench/bench.go
+++ b/internal/bench/bench.go
@@ -11,10 +11,15 @@
 	"grebeglade/choice"
 	"grebeglade/internal/allocator"
 	"grebeglade/internal/record"
+	"grebeglade/internal/replay"
 )
 
 // Fleet is what decisions are measured on: nodes of 64 cores, each with residents of ours.
-type Fleet struct{ Nodes, Residents int }
+type Fleet struct {
+	Nodes, Residents int
+
+	trace replay.Sink // nil for none
+}
 
 const (
 	cores, memory = 64, 256
--- a/internal/bench/sockets.go
+++ b/internal/bench/sockets.go
@@ -76,7 +76,9 @@
 		w.send(&pb.Frame{Body: &pb.Frame_ListUpdate{ListUpdate: u}})
 		io.Copy(io.Discard, conn)
 	})
-	c.port = port.New(config(l.Addr().String(), 0))
+	pc := config(l.Addr().String(), 0)
+	pc.Trace = f.trace
+	c.port = port.New(pc)
 	addr, err := c.loop.Listen(c.port, "127.0.0.1:0", link.DefaultLimits)
 	if err != nil {
 		c.Close()
--- a/internal/command/bench.go
+++ b/internal/command/bench.go
@@ -73,5 +73,51 @@
 	f.DurationVar(&long, "for", time.Second, "length of each measurement; there are five of each")
 	f.BoolVar(&sockets, "sockets", true, "measure over sockets too")
 	jsonFlag(c, &asJSON)
+	c.AddCommand(benchTraceCommand())
+	return c
+}
+
+func benchTraceCommand() *cobra.Command {
+	var fleet bench.Fleet
+	var script string
+	var size int64
+	var long time.Duration
+	var asJSON bool
+	c := &cobra.Command{
+		Use:   "trace",
+		Short: "Measure what traces cost: bytes, time, and the allocator that is recorded",
+		Args:  cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			if fleet.Nodes < 1 || fleet.Residents < 0 || long <= 0 || size < 0 {
+				return fmt.Errorf("--nodes takes 1 or more, --residents and --file-mib 0 or more, --for a time above 0")
+			}
+			t, err := bench.Trace(script, fleet, long, size<<20)
+			if err != nil {
+				return failure{err}
+			}
+			if asJSON {
+				return printJSON(c, t)
+			}
+			out := c.OutOrStdout()
+			fmt.Fprintf(out, "Day %q, one allocator: %d records, %d decisions, %.1f bytes a decision; plain JSON lines take %.1f times\n"+
+				"as much, uncompressed protobuf %.1f times. Written at %.0f records a second, read at %.0f.\n", t.Script, t.Records,
+				t.Decisions, t.Each, t.JSONRatio, t.PlainRatio, t.WritePerSec, t.ReadPerSec)
+			fmt.Fprintf(out, "Over sockets, %d nodes: %.0f placed a second with a trace, %.0f without; ratio %.3f, %d records lost.\n"+
+				"Ask to offer, 99th percentile at a quarter of that rate: %.2f ms with, %.2f ms without.\n", fleet.Nodes, t.On, t.Off, t.OnOff, t.Lost,
+				t.P99On, t.P99Off)
+			if t.FileBytes > 0 {
+				fmt.Fprintf(out, "A minute of %d records in a file of %.0f MiB: %.0f ms by the index, %.0f ms by a scan.\n", t.LookedUp,
+					float64(t.FileBytes)/(1<<20), t.LookUpMs, t.ScanMs)
+			}
+			return nil
+		},
+	}
+	f := c.Flags()
+	f.IntVar(&fleet.Nodes, "nodes", 100, "nodes to record on")
+	f.IntVar(&fleet.Residents, "residents", 10, "workloads of ours that stand on each node")
+	f.StringVar(&script, "script", "full", "day whose trace is measured")
+	f.Int64Var(&size, "file-mib", 64, "size of the file for the look-up, 0 for none")
+	f.DurationVar(&long, "for", time.Second, "length of each measurement; there are five of each")
+	jsonFlag(c, &asJSON)
 	return c
 }
--- a/internal/replay/extract.go
+++ b/internal/replay/extract.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"go/format"
 	"io"
 	"iter"
 	"slices"
@@ -111,7 +112,9 @@
 	fmt.Fprintf(&b, "// %d of %d calls of %s before the decision on one ask.\n", len(x.Calls)-1, x.All, x.Source)
 	fmt.Fprintf(&b, "func TestExtracted(t *testing.T) {\n")
 	fmt.Fprintf(&b, "\ta := choice.New(%#v, %d)\n", decodeSettings(x.Start.Settings), x.Start.Seed)
-	b.WriteString("\tsteps := map[choice.WorkloadID]choice.Step{}\n")
+	if slices.ContainsFunc(x.Calls[:len(x.Calls)-1], func(r *trace.Record) bool { _, of := workloadOf(r); return of }) {
+		b.WriteString("\tsteps := map[choice.WorkloadID]choice.Step{}\n")
+	}
 	for i, rec := range x.Calls {
 		line := goCall(rec)
 		if i == len(x.Calls)-1 {
@@ -121,8 +124,15 @@
 	}
 	fmt.Fprintf(&b, "\tassert.Equal(t, choice.StepKind(%d), s.Kind) // %s\n", x.Decision.Kind, stepText(x.Decision))
 	fmt.Fprintf(&b, "\tassert.Equal(t, choice.NodeID(%d), s.Node)\n}\n", x.Decision.Node)
-	text := strings.NewReplacer("-Inf", "math.Inf(-1)", "+Inf", "math.Inf(1)", "NaN", "math.NaN()").Replace(b.String())
-	_, err := io.WriteString(w, text)
+	text := strings.NewReplacer(
+		"Born:-Inf", "Born:choice.LongAgo", "-Inf", "math.Inf(-1)", "+Inf", "math.Inf(1)", "NaN", "math.NaN()",
+		"}, choice.Node{", "},\nchoice.Node{", "}, choice.Group{", "},\nchoice.Group{",
+	).Replace(b.String())
+	formatted, err := format.Source([]byte(text))
+	if err != nil {
+		return fmt.Errorf("the calls cannot be written as Go: %w", err)
+	}
+	_, err = w.Write(formatted)
 	return err
 }
 
