--- a/internal/allocator/engine.go
+++ b/internal/allocator/engine.go
@@ -133,6 +133,37 @@
 	e.ask(now)
 }
 
+// AskTogether takes workloads that are wanted together: it asks the module for all of them, and offers those that
+// have a place if they are at least so many. Otherwise nothing is sent, and the module takes its binds back. It
+// returns which are offered; the others are let go of without an answer.
+func (e *Engine) AskTogether(now choice.Millis, ws []choice.Workload, need int) []bool {
+	steps, offered, n := make([]choice.Step, len(ws)), make([]bool, len(ws)), 0
+	for i, w := range ws {
+		e.log.Add(record.Event{At: now, Kind: record.Asked, Workload: w.ID, Group: w.Group})
+		if steps[i] = e.module.Place(now, w); steps[i].Kind == choice.Bind {
+			n++
+		}
+	}
+	for i, w := range ws {
+		switch s := steps[i]; {
+		case s.Kind == choice.Bind && n >= need:
+			offered[i] = true
+			h := &held{id: w.ID, group: w.Group}
+			e.held[w.ID] = h
+			e.carryOut(now, h, s)
+			continue
+		case s.Kind == choice.Bind:
+			s.Next(now, choice.Result{Kind: choice.NotSent, Over: true})
+		case s.Kind == choice.Wait:
+			s.Next(now, choice.Result{Kind: choice.Withdrawn, Over: true})
+		}
+		e.log.Add(record.Event{At: now, Kind: record.Turned, Workload: w.ID, Group: w.Group})
+		e.world.Dropped(w.ID)
+	}
+	e.ask(now)
+	return offered
+}
+
 // Adopt takes over a workload that runs already; its bind counts as number 0.
 func (e *Engine) Adopt(now choice.Millis, w choice.Workload, node choice.NodeID) {
 	e.log.Add(record.Event{At: now, Kind: record.Adopted, Workload: w.ID, Group: w.Group, Node: node})
--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -53,7 +53,7 @@
 	require.NoError(t, err)
 	assert.Equal(t, uint64(7), f.GetAsk().Ask)
 	_, err = Decode(later[len(body):])
-	assert.ErrorContains(t, err, "holds nothing that version 1.0 knows")
+	assert.ErrorContains(t, err, "holds nothing that version 1.1 knows")
 }
 
 func FuzzFrames(f *testing.F) {
--- a/internal/port/nodes.go
+++ b/internal/port/nodes.go
@@ -113,6 +113,9 @@
 		if id, bind, ok := p.bound(n, b.Note.Bind); ok {
 			if kind, ok := noteKinds[b.Note.Kind]; ok {
 				p.engine.Note(now, id, bind, kind, b.Note.Value)
+				if kind == choice.Running && p.engine.Holds(id, bind) {
+					p.partRuns(id)
+				}
 			}
 		}
 	case *pb.Frame_ProbeAnswer:
@@ -150,6 +153,9 @@
 			named[ref{id, bind}] = true
 			if p.wls[id].called > bind {
 				p.stop(n, s.Offer.Bind, false) // the first stop may have been lost with the connection
+			} else if s.Running {
+				p.partRuns(id)
+				p.keepAgain(n, id, s)
 			}
 		} else if s.GetOffer().GetBind() != nil && s.Offer.Ask != nil {
 			strays = append(strays, s)
@@ -170,7 +176,8 @@
 	o := s.Offer
 	w := p.workload(0, o.Ask)
 	_, held := p.keys[o.Ask.Key]
-	if (o.Bind.Incarnation == p.c.Incarnation || held) && p.engine.Surplus(w.Group) {
+	// A part of a gang that is not on our books is of one that was undone: nothing of it may be left.
+	if (o.Bind.Incarnation == p.c.Incarnation || held) && (o.Gang != nil || p.engine.Surplus(w.Group)) {
 		p.stop(n, o.Bind, false)
 		return
 	}
@@ -190,6 +197,9 @@
 	if s.Running {
 		p.engine.Note(now, w.ID, 0, choice.Running, 1)
 	}
+	if o.Gang != nil {
+		p.found(now, w.ID, wl, s)
+	}
 }
 
 // known finds the workload and the bind that a node speaks of: one of ours that went to that node.
--- a/internal/port/port.go
+++ b/internal/port/port.go
@@ -16,6 +16,7 @@
 
 	"grebeglade/choice"
 	"grebeglade/internal/allocator"
+	"grebeglade/internal/gang"
 	"grebeglade/internal/link"
 	"grebeglade/internal/record"
 	"grebeglade/internal/replay"
@@ -56,6 +57,7 @@
 type Counts struct {
 	Asks, Placed, Rejected, Unschedulable, Turned, Withdrawn uint64
 	Binds, Moves, Probes, ListCalls                          uint64
+	Gangs, GangsStood, GangsGivenUp, GangStops               uint64
 	Duplicates                                               uint64 // asks that came twice
 	Stray                                                    uint64 // answers for no bind of ours
 }
@@ -68,8 +70,10 @@
 	bind    *pb.BindID      // of an adopted one: as its node knows it
 	since   choice.Millis
 	answer  allocator.Verdict
-	stopped bool // its owner wants it no more
-	called  int  // bind that was called off, counted from 1; 0 for none
+	stopped bool   // its owner wants it no more
+	called  int    // bind that was called off, counted from 1; 0 for none
+	gang    *group // that it is a part of, or nil
+	part    int
 }
 
 // oldBind names a bind of an earlier incarnation.
@@ -138,6 +142,7 @@
 	asks    map[askID]choice.WorkloadID
 	keys    map[uint64]choice.WorkloadID
 	old     map[oldBind]choice.WorkloadID
+	gangs   map[askID]*group
 	lastID  choice.WorkloadID
 	groups  map[string]int
 	zones   map[string]choice.ZoneID
@@ -162,7 +167,8 @@
 		c: c, log: c.Log, record: record.NewLog(cmp.Or(c.RecordSize, recordSize)),
 		peers: map[link.ConnID]*peer{}, owners: map[string]link.ConnID{},
 		wls: map[choice.WorkloadID]*workload{}, asks: map[askID]choice.WorkloadID{},
-		keys: map[uint64]choice.WorkloadID{}, old: map[oldBind]choice.WorkloadID{}, groups: map[string]int{},
+		keys: map[uint64]choice.WorkloadID{}, old: map[oldBind]choice.WorkloadID{},
+		gangs: map[askID]*group{}, groups: map[string]int{},
 		zones: map[string]choice.ZoneID{c.Zone: 0}, cells: map[string]choice.CellID{},
 		probes: map[uint64]choice.NodeID{},
 	}
@@ -173,6 +179,7 @@
 		p.groups[g] = i
 	}
 	c.Settings.Zone = 0
+	c.Settings = WithSpreads(c.Settings)
 	o := allocator.Options{TimesOut: true, Log: p.record}
 	if c.Trace != nil {
 		p.tap = replay.NewTap(replay.Began{
@@ -358,7 +365,7 @@
 func (p *Port) ownerGone(now choice.Millis, owner string) {
 	var ids []choice.WorkloadID
 	for id, wl := range p.wls {
-		if wl.owner == owner && wl.answer == 0 {
+		if wl.owner == owner && wl.answer == 0 && wl.gang == nil {
 			ids = append(ids, id)
 		}
 	}
@@ -366,14 +373,19 @@
 	for _, id := range ids {
 		p.withdraw(now, id)
 	}
+	p.gangOwnerGone(now, owner)
 }
 
 func (p *Port) fromOwner(now choice.Millis, c link.ConnID, owner string, f *pb.Frame) {
 	switch {
 	case f.GetAsk() != nil:
 		p.ask(now, c, owner, f.GetAsk())
+	case f.GetGangAsk() != nil:
+		p.gangAsk(now, c, owner, f.GetGangAsk())
 	case f.GetWithdraw() != nil:
-		if id, ok := p.asks[askID{owner, f.GetWithdraw().Ask}]; ok {
+		if g := p.gangs[askID{owner, f.GetWithdraw().Ask}]; g != nil {
+			p.gangWithdraw(now, g)
+		} else if id, ok := p.asks[askID{owner, f.GetWithdraw().Ask}]; ok {
 			p.withdraw(now, id)
 		}
 	default:
@@ -466,7 +478,11 @@
 
 // offer is a workload's bind as it goes over the wire.
 func (p *Port) offer(id choice.WorkloadID, wl *workload) *pb.Offer {
-	return &pb.Offer{Bind: p.bindID(id, wl), Owner: wl.owner, Ask: wl.ask}
+	o := &pb.Offer{Bind: p.bindID(id, wl), Owner: wl.owner, Ask: wl.ask}
+	if wl.gang != nil {
+		o.Gang = wl.gang.partOf(p.now, wl.part)
+	}
+	return o
 }
 
 func (p *Port) bindID(id choice.WorkloadID, wl *workload) *pb.BindID {
@@ -576,6 +592,10 @@
 	p := (*Port)(w)
 	wl := p.wls[id]
 	wl.answer = v
+	if wl.gang != nil {
+		p.partAnswered(id, wl, v)
+		return
+	}
 	p.pending--
 	verdict, reason := pb.Verdict_PLACED, ""
 	switch v {
@@ -615,6 +635,11 @@
 func (w *world) Ended(id choice.WorkloadID, _ choice.NodeID, moved bool, why choice.Reason) {
 	p := (*Port)(w)
 	wl := p.wls[id]
+	if wl.gang != nil {
+		finished := !moved && !p.lostNow && why == choice.NoReason
+		p.partEvent(id, wl, func(now choice.Millis) []gang.Act { return wl.gang.state.Ended(now, wl.part, finished) })
+		return
+	}
 	c, ok := p.owners[wl.owner]
 	if !ok {
 		return
@@ -638,6 +663,9 @@
 func (w *world) Dropped(id choice.WorkloadID) {
 	p := (*Port)(w)
 	wl := p.wls[id]
+	if wl.gang != nil && wl.stopped {
+		p.partEvent(id, wl, func(now choice.Millis) []gang.Act { return wl.gang.state.Ended(now, wl.part, false) })
+	}
 	delete(p.wls, id)
 	if p.asks[askID{wl.owner, wl.ask.Ask}] == id {
 		delete(p.asks, askID{wl.owner, wl.ask.Ask})
--- a/internal/port/port_test.go
+++ b/internal/port/port_test.go
@@ -402,7 +402,7 @@
 	}
 	later := link.Hello(&pb.Hello{Role: pb.Role_OWNER, Name: "x"})
 	later.GetHello().Major = 2
-	assert.Equal(t, "version 2.0 is not spoken here; this side speaks 1.x", refusal(later))
+	assert.Equal(t, "version 2.1 is not spoken here; this side speaks 1.x", refusal(later))
 	assert.Equal(t, "the hello names no name", refusal(link.Hello(&pb.Hello{Role: pb.Role_OWNER})))
 	assert.Equal(t, "the first frame must be a hello", refusal(&pb.Frame{Body: &pb.Frame_Probe{Probe: &pb.Probe{}}}))
 	assert.Contains(t, refusal(link.Hello(&pb.Hello{Role: pb.Role_LIST, Name: "l"})), "not the role LIST")
--- a/internal/port/state.go
+++ b/internal/port/state.go
@@ -21,6 +21,8 @@
 		for _, id := range ids[:min(len(ids), most)] {
 			s.Workloads = append(s.Workloads, p.workloadState(now, id))
 		}
+	case pb.Query_GANGS:
+		s.Gangs, s.LeftOut = p.gangStates(now, most)
 	case pb.Query_NODES:
 		s.LeftOut = uint32(max(0, len(p.nodes)-most))
 		residents, out := map[choice.NodeID]uint32{}, map[choice.NodeID]uint32{}
--- a/internal/replay/extract.go
+++ b/internal/replay/extract.go
@@ -44,7 +44,7 @@
 		}
 		switch r.Body.(type) {
 		case *tracepb.Record_Start, *tracepb.Record_Asked, *tracepb.Record_Answered, *tracepb.Record_Refused,
-			*tracepb.Record_Heard, *tracepb.Record_Gap:
+			*tracepb.Record_Heard, *tracepb.Record_Gap, *tracepb.Record_GangAsked, *tracepb.Record_GangState:
 			continue
 		}
 		lives[r.Source] = append(lives[r.Source], r)
--- a/internal/replay/run.go
+++ b/internal/replay/run.go
@@ -328,6 +328,10 @@
 		fmt.Fprintf(&b, "node %d refuses workload %d: %s", x.Refused.Node, x.Refused.Workload, x.Refused.Text)
 	case *tracepb.Record_Heard:
 		fmt.Fprintf(&b, "list epoch %d, revision %d", x.Heard.Epoch, x.Heard.Revision)
+	case *tracepb.Record_GangAsked:
+		fmt.Fprintf(&b, "gang of %d parts, %d needed, is ask %d of %s", x.GangAsked.Parts, x.GangAsked.Need, x.GangAsked.Ask, x.GangAsked.Owner)
+	case *tracepb.Record_GangState:
+		fmt.Fprintf(&b, "gang %d of %s is %s, workloads %v", x.GangState.Ask, x.GangState.Owner, x.GangState.State, x.GangState.Workloads)
 	case *tracepb.Record_Gap:
 		fmt.Fprintf(&b, "GAP: %d records missing (%s)", x.Gap.Missing, x.Gap.Why)
 	}
--- a/internal/replay/tap.go
+++ b/internal/replay/tap.go
@@ -137,3 +137,19 @@
 func (t *Tap) Heard(now choice.Millis, epoch, revision uint64) {
 	t.add(now, &trace.Record{Body: &tracepb.Record_Heard{Heard: &tracepb.Heard{Epoch: epoch, Revision: revision}}})
 }
+
+// GangAsked writes down that workloads belong together.
+func (t *Tap) GangAsked(now choice.Millis, owner string, ask uint64, parts, need int, left choice.Millis) {
+	t.add(now, &trace.Record{Body: &tracepb.Record_GangAsked{GangAsked: &tracepb.GangAsked{
+		Owner: owner, Ask: ask, Parts: uint32(parts), Need: uint32(need), Left: float64(left),
+	}}})
+}
+
+// GangState writes down how far a gang has come.
+func (t *Tap) GangState(now choice.Millis, owner string, ask uint64, state string, parts []choice.WorkloadID) {
+	g := &tracepb.GangState{Owner: owner, Ask: ask, State: state}
+	for _, id := range parts {
+		g.Workloads = append(g.Workloads, uint32(id))
+	}
+	t.add(now, &trace.Record{Body: &tracepb.Record_GangState{GangState: g}})
+}
--- a/proto/grebeglade/v1/pb.go
+++ b/proto/grebeglade/v1/pb.go
@@ -7,5 +7,5 @@
 // Major and Minor are the version that this build speaks. Another major is refused, a later minor is not.
 const (
 	Major = 1
-	Minor = 0
+	Minor = 1 // gangs
 )
--- a/trace/anonymise.go
+++ b/trace/anonymise.go
@@ -59,7 +59,10 @@
 	"Answered.workload": {id, "workload"}, "Answered.verdict": {}, "Answered.node": {id, "node"}, "Answered.text": {text, ""},
 	"Refused.workload": {id, "workload"}, "Refused.node": {id, "node"}, "Refused.text": {text, ""},
 	"Heard.epoch": {id, "epoch"}, "Heard.revision": {id, "list revision"},
-	"Gap.missing": {}, "Gap.why": {text, ""},
+	"GangAsked.owner": {text, ""}, "GangAsked.ask": {id, "ask"}, "GangAsked.parts": {}, "GangAsked.need": {},
+	"GangAsked.left": {amount, ""}, "GangState.owner": {text, ""}, "GangState.ask": {id, "ask"}, "GangState.state": {},
+	"GangState.workloads": {id, "workload"},
+	"Gap.missing":         {}, "Gap.why": {text, ""},
 }
 
 // LeastKey is how long a key must be, in bytes: a shorter one can be found by trying.
--- a/trace/format.go
+++ b/trace/format.go
@@ -25,7 +25,7 @@
 // does not know are ignored.
 const (
 	Major = 1
-	Minor = 0
+	Minor = 1 // records of gangs
 )
 
 const (
--- a/trace/trace_test.go
+++ b/trace/trace_test.go
@@ -190,7 +190,7 @@
 		return later
 	}
 	_, err := NewReader(bytes.NewReader(version(8, 2)), int64(len(b)))
-	assert.ErrorContains(t, err, "the trace is of format 2.0 and this program reads 1.x: read it with a newer grebeglade")
+	assert.ErrorContains(t, err, "the trace is of format 2.1 and this program reads 1.x: read it with a newer grebeglade")
 	// A later minor adds fields and kinds of records; those that are known are read all the same.
 	var raw bytes.Buffer
 	w, err := NewWriter(&raw, one)
@@ -251,6 +251,7 @@
 		}
 		records, _ := all(r, Span{})
 		Verify(r)
+		r.Close()
 		if len(records) > 0 && len(b) < headSize+blockSize {
 			t.Error("records out of nothing")
 		}
@@ -443,7 +444,7 @@
 			}
 			how, known := treatments[string(m.Name())+"."+string(f.Name())]
 			assert.True(t, known, f.FullName())
-			if f.Kind() == protoreflect.StringKind && f.FullName() != "grebeglade.trace.v1.Header.tool" {
+			if f.Kind() == protoreflect.StringKind && f.Name() != "tool" && f.Name() != "state" {
 				assert.Equal(t, text, how.how, f.FullName())
 			}
 		}
