Play groups in the laboratory: leases at the nodes, owners that want groups, a sixth check

Groups need stand-ins that keep leases, owners that ask for groups, and an auditor that sees a part left behind. The check follows parts at the nodes alone.

--- a/internal/lab/audit.go
+++ b/internal/lab/audit.go
@@ -49,6 +49,12 @@
 	More   int // breaks beyond those kept
 	Offers int
 	Frames int
+
+	gangs   map[askRef]*gangSeen
+	parts   map[bindKey]*partSeen // that stand on nodes
+	spent   float64               // core seconds that parts stood, and those of groups that did not stand
+	wasted  float64
+	Partial int // groups of which a part stood for too long, or was left
 }
 
 type askRef struct {
@@ -102,6 +108,7 @@
 	withdrawn bool // the allocator was told
 	excused   bool // nobody owes an answer any more
 	answered  bool // at the owner
+	gang      bool
 	verdict   pb.Verdict
 	binds     []*bindSeen
 	frames    []frameSeen
@@ -133,6 +140,7 @@
 	return &Auditor{
 		terms: t, allocs: map[string]*allocatorSeen{}, conns: map[*Gate]map[link.ConnID]*connSeen{},
 		asks: map[askRef]*askSeen{}, nodes: map[uint32]*nodeSeen{}, starts: map[uint64][]bindKey{},
+		gangs: map[askRef]*gangSeen{}, parts: map[bindKey]*partSeen{},
 	}
 }
 
@@ -172,6 +180,9 @@
 
 // Life forgets what a dead allocator was told, and excuses what it held.
 func (a *Auditor) Life(now choice.Millis, g *Gate, alive bool) {
+	if !alive && g.Role == pb.Role_NODE {
+		a.nodeDied(now, uint32(g.ID))
+	}
 	if alive || g.Role != pb.Role_ALLOCATOR {
 		return
 	}
@@ -233,6 +244,7 @@
 		return
 	}
 	seen := frameSeen{now, g.Name, out, f}
+	a.gangFrame(now, g, seen)
 	switch g.Role {
 	case pb.Role_OWNER:
 		a.atOwner(now, g, c, seen)
@@ -290,6 +302,18 @@
 		w.frames = append(w.frames, seen)
 		a.asks[w.ref] = w
 		a.order = append(a.order, w)
+	case *pb.Frame_GangAsk:
+		// To the first rule a group is one ask; its parts' offers are held to the other rules by their own keys.
+		w := &askSeen{
+			ref: askRef{g.Name, b.GangAsk.Ask}, ask: b.GangAsk.Parts[0], gang: true,
+			deadline: now + choice.Millis(b.GangAsk.LeftMs) + a.terms.Slack,
+		}
+		if peer := a.conns[g][c]; peer != nil {
+			w.alloc = peer.name
+		}
+		w.frames = append(w.frames, seen)
+		a.asks[w.ref] = w
+		a.order = append(a.order, w)
 	case *pb.Frame_Withdraw:
 		if w := a.asks[askRef{g.Name, b.Withdraw.Ask}]; w != nil && !w.answered {
 			w.frames = append(w.frames, seen)
@@ -346,6 +370,11 @@
 			w.received, w.alloc = true, g.Name
 			w.frames = append(w.frames, seen)
 		}
+	case *pb.Frame_GangAsk:
+		if w := a.asks[askRef{peer.name, b.GangAsk.Ask}]; w != nil {
+			w.received, w.alloc = true, g.Name
+			w.frames = append(w.frames, seen)
+		}
 	case *pb.Frame_Withdraw:
 		if w := a.asks[askRef{peer.name, b.Withdraw.Ask}]; w != nil {
 			w.withdrawn = true
@@ -430,6 +459,10 @@
 	}
 	w.verdict = v.Verdict
 	g := a.terms.Groups[w.ask.Group]
+	if w.gang {
+		a.gangAnswers(now, w, v)
+		return
+	}
 	if v.Verdict != pb.Verdict_REJECTED || g.Effect == choice.Restartable ||
 		g.Effect == choice.Deduplicated && g.DedupScope == choice.ScopeAll {
 		return
@@ -446,6 +479,9 @@
 func (a *Auditor) offers(now choice.Millis, s *allocatorSeen, node uint32, o *pb.Offer, seen frameSeen) {
 	a.Offers++
 	w := a.asks[askRef{o.Owner, o.Ask.Ask}]
+	if w != nil && w.gang {
+		w = a.partAsk(w, o)
+	}
 	if w == nil {
 		a.breaks(1, now, node, nil, "an offer for no ask", seen)
 		return
@@ -586,6 +622,7 @@
 	for _, w := range a.order {
 		a.unanswered(now, w)
 	}
+	a.finishGangs(now)
 	slices.SortStableFunc(a.Broken, func(x, y Broken) int {
 		return cmp.Or(cmp.Compare(x.At, y.At), cmp.Compare(x.Rule, y.Rule))
 	})
--- /dev/null
+++ b/internal/lab/auditgangs.go
@@ -0,0 +1,214 @@
+package lab
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+
+	"grebeglade/choice"
+	pb "grebeglade/proto/grebeglade/v1"
+)
+
+// partialMost is how long, in ms, a part may stand beyond its lease without the rest of its group: leases run
+// from acceptance, and a node may stand still when one ends.
+const partialMost = choice.Millis(5e3)
+
+// bindsMost is how many binds one part may have: each try of a group and each replacement has those of an
+// ordinary workload. It guards against retries without end.
+const bindsMost = 24
+
+// gangSeen is a group as it shows at the nodes.
+type gangSeen struct {
+	ref      askRef
+	need     int
+	standing map[uint32]*partSeen // by part
+	stood    bool                 // its owner was told
+	ends     bool                 // a part came to its own end
+	partial  choice.Millis        // since when some parts stand and not enough, below 0: not
+	lease    choice.Millis
+	told     bool // on
+	parts    map[uint64]*askSeen
+}
+
+// partSeen is one part on a node.
+type partSeen struct {
+	gang  *gangSeen
+	part  uint32
+	node  uint32
+	since choice.Millis
+	cores float64
+	seen  frameSeen
+}
+
+// partAsk is what the rules on binds hold a part to: an ask of its own, with its key.
+func (a *Auditor) partAsk(w *askSeen, o *pb.Offer) *askSeen {
+	g := a.gang(o)
+	p := g.parts[o.Ask.Key]
+	if p == nil {
+		p = &askSeen{ref: w.ref, ask: o.Ask, alloc: w.alloc, received: true, excused: true}
+		g.parts[o.Ask.Key] = p
+	}
+	// A part of a group that stands may be replaced; one of a group that was given up may not be offered.
+	p.verdict = 0
+	if w.verdict == pb.Verdict_REJECTED || w.verdict == pb.Verdict_UNSCHEDULABLE {
+		p.verdict = w.verdict
+	}
+	p.withdrawn = w.withdrawn
+	return p
+}
+
+func (a *Auditor) gang(o *pb.Offer) *gangSeen {
+	ref := askRef{o.Owner, o.Ask.Ask}
+	g := a.gangs[ref]
+	if g == nil {
+		g = &gangSeen{
+			ref: ref, need: int(o.Gang.Need), standing: map[uint32]*partSeen{}, partial: -1, parts: map[uint64]*askSeen{},
+		}
+		a.gangs[ref] = g
+	}
+	g.lease = max(g.lease, choice.Millis(o.Gang.LeaseMs))
+	return g
+}
+
+// gangAnswers notes that a group stands, or checks that it may be rejected.
+func (a *Auditor) gangAnswers(now choice.Millis, w *askSeen, v *pb.Answer) {
+	g := a.gangs[w.ref]
+	if g == nil {
+		return
+	}
+	if v.Verdict == pb.Verdict_PLACED {
+		g.stood = true
+		return
+	}
+	if v.Verdict != pb.Verdict_REJECTED {
+		return
+	}
+	for _, p := range g.parts {
+		if a.terms.Groups[p.ask.Group].Effect != choice.RunOnce {
+			continue
+		}
+		for _, b := range p.binds {
+			if !b.never {
+				a.breaks(2, now, b.node, p, "a group rejected although a part that must not run twice may have run")
+				return
+			}
+		}
+	}
+}
+
+// gangFrame follows the parts of groups at the nodes.
+func (a *Auditor) gangFrame(now choice.Millis, g *Gate, seen frameSeen) {
+	switch b := seen.f.Body.(type) {
+	case *pb.Frame_Offer:
+		if g.Role == pb.Role_NODE && !seen.out && b.Offer.Gang != nil {
+			if s := a.gang(b.Offer); a.parts[keyOf(b.Offer.Bind)] == nil {
+				a.parts[keyOf(b.Offer.Bind)] = &partSeen{
+					gang: s, part: b.Offer.Gang.Part, node: uint32(g.ID), since: -1, cores: b.Offer.Ask.Cores, seen: seen,
+				}
+			}
+		}
+	case *pb.Frame_OfferAnswer:
+		if p := a.parts[keyOf(b.OfferAnswer.Bind)]; p != nil && g.Role == pb.Role_NODE && seen.out {
+			if b.OfferAnswer.Accepted {
+				a.partStands(now, p)
+			} else if p.since >= 0 {
+				a.partGone(now, keyOf(b.OfferAnswer.Bind), p, pb.Why_STOPPED)
+			}
+		}
+	case *pb.Frame_End:
+		if p := a.parts[keyOf(b.End.Bind)]; p != nil && g.Role == pb.Role_NODE && seen.out {
+			a.partGone(now, keyOf(b.End.Bind), p, b.End.Why)
+		}
+	}
+}
+
+func (a *Auditor) partStands(now choice.Millis, p *partSeen) {
+	if p.since >= 0 {
+		return
+	}
+	p.since = now
+	p.gang.standing[p.part] = p
+	a.weigh(now, p.gang)
+}
+
+// partGone takes the end of a part. One that was not accepted yet never stood.
+func (a *Auditor) partGone(now choice.Millis, k bindKey, p *partSeen, why pb.Why) {
+	g := p.gang
+	if p.since >= 0 {
+		spent := float64(now-p.since) / 1000 * p.cores
+		if a.spent += spent; !g.stood {
+			a.wasted += spent
+		}
+	}
+	if why == pb.Why_FINISHED {
+		g.ends = true
+	}
+	if g.standing[p.part] == p {
+		delete(g.standing, p.part)
+	}
+	p.since = -1
+	delete(a.parts, k)
+	a.weigh(now, g)
+}
+
+// weigh notes since when a group is neither whole nor gone.
+func (a *Auditor) weigh(now choice.Millis, g *gangSeen) {
+	a.tell(now, g)
+	if n := len(g.standing); n == 0 || n >= g.need || g.ends {
+		g.partial = -1
+	} else if g.partial < 0 {
+		g.partial = now
+	}
+}
+
+// tell tells on a group that is partial for longer than its lease and the time to settle.
+func (a *Auditor) tell(now choice.Millis, g *gangSeen) {
+	if g.partial < 0 || g.told || now-g.partial <= g.lease+partialMost {
+		return
+	}
+	g.told = true
+	a.Partial++
+	var frames []frameSeen
+	for _, p := range g.standing {
+		frames = append(frames, p.seen)
+	}
+	slices.SortFunc(frames, func(x, y frameSeen) int { return cmp.Compare(x.at, y.at) })
+	a.breaks(6, now, 0, nil, fmt.Sprintf("group %d of %s has %d parts standing of %d needed for %.0f ms", g.ref.ask, g.ref.owner,
+		len(g.standing), g.need, now-g.partial), frames...)
+}
+
+// nodeDied ends what stood on a node whose process is gone.
+func (a *Auditor) nodeDied(now choice.Millis, node uint32) {
+	for k, p := range a.parts {
+		if p.node == node {
+			a.partGone(now, k, p, pb.Why_LOST)
+		}
+	}
+}
+
+func (a *Auditor) finishGangs(now choice.Millis) {
+	for _, p := range a.parts {
+		if p.since >= 0 {
+			spent := float64(now-p.since) / 1000 * p.cores
+			if a.spent += spent; !p.gang.stood {
+				a.wasted += spent
+			}
+		}
+	}
+	for _, g := range a.gangs {
+		a.tell(now, g)
+		for _, p := range g.parts {
+			if len(p.binds) > bindsMost {
+				a.breaks(6, now, 0, p, fmt.Sprintf("a part of group %d of %s has had %d binds", g.ref.ask, g.ref.owner, len(p.binds)))
+			}
+		}
+	}
+}
+
+// wastedShare is the share of the core time of parts that groups took which did not stand.
+func (a *Auditor) wastedShare() float64 {
+	if a.spent == 0 {
+		return 0
+	}
+	return a.wasted / a.spent
+}
--- a/internal/lab/day.go
+++ b/internal/lab/day.go
@@ -58,12 +58,20 @@
 	WaitMedian    float64        `json:"wait_median_ms"` // from ask to yes
 	Wait99        float64        `json:"wait_p99_ms"`
 	Fell          int            `json:"fell"` // cold nodes pushed over
-	Frames        int            `json:"frames"`
-	DaySeconds    float64        `json:"day_seconds"`
-	RanSeconds    float64        `json:"ran_seconds"`
-	Digest        string         `json:"digest"`
-	Broken        []Broken       `json:"broken"`
-	MoreBroken    int            `json:"more_broken,omitempty"`
+
+	Gangs        int      `json:"gangs"`               // that owners wanted
+	GangsStood   int      `json:"gangs_standing"`      // that stood at some time
+	GangsGivenUp int      `json:"gangs_given_up"`      // that never did, and are not asked for any more
+	PartialLeft  int      `json:"partial_groups_left"` // by the auditor, after the settle time
+	GangMedian   float64  `json:"gang_wait_median_ms"` // from a group's first ask until it stood
+	GangWasted   float64  `json:"gang_wasted_share"`   // of the core time of parts, that of groups that did not stand
+	GangStops    uint64   `json:"gang_stops"`          // parts that allocators stopped
+	Frames       int      `json:"frames"`
+	DaySeconds   float64  `json:"day_seconds"`
+	RanSeconds   float64  `json:"ran_seconds"`
+	Digest       string   `json:"digest"`
+	Broken       []Broken `json:"broken"`
+	MoreBroken   int      `json:"more_broken,omitempty"`
 }
 
 // Day is a script put together on a host.
@@ -176,6 +184,10 @@
 	}
 	owner.Groups, owner.From, owner.Until = s.Demand, d.begins, d.begins+s.Length
 	owner.Rate /= float64(s.Owners)
+	owner.Gangs = slices.Clone(owner.Gangs)
+	for i := range owner.Gangs {
+		owner.Gangs[i].Rate /= float64(s.Owners)
+	}
 	for i := range s.Owners {
 		name := fmt.Sprintf("owner-%d", i+1)
 		g := NewGate(name, pb.Role_OWNER, i, d.w, func(uint64) link.Party {
@@ -284,6 +296,9 @@
 	for _, g := range d.script.Demand {
 		last = max(last, g.Pending)
 	}
+	for _, g := range d.script.Owner.Gangs {
+		last = max(last, g.Pending)
+	}
 	return d.begins + d.script.Length + last + d.script.Owner.Slack + settleFor
 }
 
@@ -311,7 +326,7 @@
 	if r.Broken == nil {
 		r.Broken = []Broken{}
 	}
-	var waits []float64
+	var waits, gangWaits []float64
 	for _, g := range d.owners {
 		t := &g.Inner().(*Owner).Tally
 		r.Workloads += t.Asks
@@ -323,10 +338,17 @@
 		r.Cut += t.Cut
 		r.Unanswered += t.Unanswered
 		waits = append(waits, t.Waits...)
+		gangWaits = append(gangWaits, t.GangWaits...)
+		r.Gangs += t.Gangs
+		r.GangsStood += t.GangsStood
+		r.GangsGivenUp += t.GangsGivenUp
 		for why, n := range t.Ended {
 			r.Ended[why.String()] += n
 		}
 	}
+	slices.Sort(gangWaits)
+	r.GangMedian = percentile(gangWaits, 0.5)
+	r.PartialLeft, r.GangWasted = a.Partial, a.wastedShare()
 	slices.Sort(waits)
 	r.WaitMedian, r.Wait99 = percentile(waits, 0.5), percentile(waits, 0.99)
 	digest := xxhash.New()
@@ -336,6 +358,7 @@
 			r.Moves += p.Counts.Moves
 			r.Probes += p.Counts.Probes
 			r.ListCalls += p.Counts.ListCalls
+			r.GangStops += p.Counts.GangStops
 			r.Duplicates += p.Counts.Duplicates
 			r.Stray += p.Counts.Stray
 			digest.Write(binary.LittleEndian.AppendUint64(nil, p.Record().Digest()))
--- a/internal/lab/node.go
+++ b/internal/lab/node.go
@@ -126,6 +126,7 @@
 	group   *GroupModel
 	running bool
 	over    bool
+	kept    bool    // its gang stands
 	cores   float64 // in use when it runs
 	memory  float64
 }
@@ -200,6 +201,10 @@
 			n.offered(now, c, b.Offer)
 		case *pb.Frame_Stop:
 			n.stopped(now, b.Stop)
+		case *pb.Frame_Keep:
+			if t := n.byBind[keyOf(b.Keep.Bind)]; t != nil {
+				t.kept = true
+			}
 		case *pb.Frame_Probe:
 			n.enter(now, &waiting{probe: b.Probe.Id, from: c, arrived: now})
 		}
@@ -227,7 +232,7 @@
 	}
 	for _, t := range n.tasks {
 		if t.offer.Bind.Allocator == h.Name && (t.running || !n.model.ConfirmsRunning) {
-			hello.Standing = append(hello.Standing, &pb.Standing{Offer: t.offer, Running: t.running})
+			hello.Standing = append(hello.Standing, &pb.Standing{Offer: t.offer, Running: t.running, Kept: t.kept})
 		}
 	}
 	n.net.Send(c, link.Hello(hello))
@@ -347,6 +352,14 @@
 	}
 	n.toStart = append(n.toStart, t)
 	n.startNext(now)
+	// A part that nobody declared standing ends by itself, by this node's own clock: its allocator may be no more.
+	if g := o.Gang; g != nil {
+		n.timers.At(now+choice.Millis(g.LeaseMs), func(now choice.Millis) {
+			if !t.kept {
+				n.end(now, t, pb.Why_LEASE_OVER)
+			}
+		})
+	}
 }
 
 func (n *Node) decline(now choice.Millis, w *waiting, why pb.Why, text string) {
--- a/internal/lab/owner.go
+++ b/internal/lab/owner.go
@@ -28,8 +28,33 @@
 	Slack      choice.Millis // beyond the pending timeout that it waits for an answer
 	Withdraws  float64       // share of workloads that it withdraws at some time
 	Allocators []string      // addresses
+	Gangs      []GangDemand
+	Policy     GangPolicy
 }
 
+// GangDemand is what is asked for in groups of one kind.
+type GangDemand struct {
+	Group         string
+	Effect        choice.Effect
+	Rate          float64 // a second, of this owner
+	Parts, Need   int
+	Shape         [2]float64
+	Life          choice.Millis
+	Pending       choice.Millis
+	Spread        string
+	Replace       bool
+	ReplaceWithin choice.Millis
+}
+
+// GangPolicy is how groups are asked for: as groups, or in one of two ways to compare with.
+type GangPolicy string
+
+const (
+	Together    GangPolicy = "together"
+	Independent GangPolicy = "independent" // each part by itself; when its time is up, a group that is not whole is stopped
+	ForEver     GangPolicy = "for-ever"    // as a group, asked for again at once whenever it is given up, until its time is up
+)
+
 // Demand is what is asked for in one priority group.
 type Demand struct {
 	Name     string
@@ -50,6 +75,8 @@
 	Unanswered                                    int
 	Ended                                         map[pb.Why]int
 	Waits                                         []float64 // ms from a first ask to its yes
+	Gangs, GangsStood, GangsGivenUp               int       // groups that were wanted, that stood, that never did
+	GangWaits                                     []float64 // ms from the first ask for a group until it stood
 }
 
 // Owner is a stand-in for those who ask for workloads.
@@ -88,6 +115,8 @@
 	at      int // allocator
 	placed  bool
 	gone    bool
+	gang    *wantedGang // that it is, or is a part of
+	part    int
 }
 
 // NewOwner makes an owner; its number keeps its keys apart from those of others.
@@ -105,6 +134,9 @@
 		o.dial(i)
 	}
 	o.timers.At(max(now, o.model.From)+o.gap(), o.next)
+	for i := range o.model.Gangs {
+		o.timers.At(max(now, o.model.From)+o.gangGap(i), func(now choice.Millis) { o.nextGang(now, i) })
+	}
 	o.wake()
 }
 
@@ -144,7 +176,11 @@
 		}
 		o.Tally.Cut++
 		delete(o.asks, no)
-		o.again(now, w, true)
+		if w.gang != nil {
+			o.gangAgain(now, w, true)
+		} else {
+			o.again(now, w, true)
+		}
 	}
 	o.conns[i] = 0
 	o.timers.At(now+choice.Millis(200+o.rng.Float64()*600), func(choice.Millis) { o.dial(i) })
@@ -170,7 +206,10 @@
 	case *pb.Frame_Answer:
 		o.answered(now, b.Answer)
 	case *pb.Frame_Over:
-		if w := o.asks[b.Over.Ask]; w != nil && w.placed {
+		if w := o.asks[b.Over.Ask]; w != nil && w.placed && w.gang != nil {
+			delete(o.asks, b.Over.Ask)
+			o.gangOver(now, w, b.Over.Why)
+		} else if w != nil && w.placed {
 			delete(o.asks, b.Over.Ask)
 			o.Tally.Ended[b.Over.Why]++
 			if b.Over.Why != pb.Why_FINISHED {
@@ -201,7 +240,9 @@
 		default:
 			delete(o.asks, no)
 			o.Tally.Ended[pb.Why_LOST]++
-			o.again(now, w, true)
+			if w.gang == nil {
+				o.again(now, w, true)
+			}
 		}
 	}
 }
@@ -211,6 +252,10 @@
 	if w == nil || w.placed {
 		return
 	}
+	if w.gang != nil {
+		o.gangAnswered(now, w, a)
+		return
+	}
 	switch a.Verdict {
 	case pb.Verdict_PLACED:
 		o.Tally.Placed++
@@ -323,6 +368,10 @@
 	}
 	o.Tally.Unanswered++
 	o.drop(no, w)
+	if w.gang != nil {
+		o.gangAgain(now, w, true)
+		return
+	}
 	o.again(now, w, true)
 }
 
@@ -367,7 +416,7 @@
 	done := map[*wanted]bool{}
 	for _, no := range slices.Sorted(maps.Keys(o.asks)) {
 		w := o.asks[no]
-		if w == nil || done[w] || w.gone || spread(w.service+3)-0.5 >= share {
+		if w == nil || done[w] || w.gone || w.gang != nil || spread(w.service+3)-0.5 >= share {
 			continue
 		}
 		done[w] = true
--- a/internal/lab/script.go
+++ b/internal/lab/script.go
@@ -134,6 +134,7 @@
 	}
 	s.readLoad(b)
 	s.readModels(b)
+	s.readGangs(b)
 	for _, f := range b.Named("fault") {
 		s.readFault(f)
 	}
@@ -273,6 +274,9 @@
 	}
 	s.Counts[0] += left
 	s.Owner.Rate *= float64(nodes) / float64(before)
+	for i := range s.Owner.Gangs {
+		s.Owner.Gangs[i].Rate *= float64(nodes) / float64(before)
+	}
 	for i := range s.Demand {
 		s.Demand[i].Services = max(1, s.Demand[i].Services*nodes/before)
 	}
--- /dev/null
+++ b/internal/lab/scripts/gang-node-failure.hcl
@@ -0,0 +1,144 @@
+about = "nodes fail, stall and drain while groups start and stand"
+zones      = ["hall-a", "hall-b"]
+allocators = 4
+owners     = 2
+length     = "22s"
+
+kind "small" {
+  cores  = 24
+  memory = 48
+  count  = 6
+}
+
+kind "large" {
+  cores  = 48
+  memory = 96
+  count  = 3
+}
+
+group "serve" {
+  effect  = "restartable"
+  share   = 0.7
+  target  = "1s"
+  pending = "6s"
+  life    = "9s"
+  shapes  = [[0.5, 1], [1, 2], [2, 3]]
+  services = 10
+  calm    = 0.8
+  work    = "60ms"
+}
+
+group "check" {
+  effect       = "deduplicated"
+  dedup_scope  = "cell"
+  dedup_window = "5s"
+  utility      = 2
+  share        = 0.25
+  target       = "700ms"
+  pending      = "6s"
+  life         = "7s"
+  shapes       = [[0.5, 1], [1, 1.5]]
+  services     = 8
+  calm         = 0.8
+  work         = "40ms"
+  spread       = "node"
+  spread_most  = 3
+  rank         = 1
+}
+
+group "trace" {
+  effect      = "run-once"
+  utility     = 5
+  share       = 0.05
+  target      = "5s"
+  pending     = "10s"
+  life        = "15s"
+  shapes      = [[6, 12], [10, 18]]
+  services    = 3
+  calm        = 0.8
+  work        = "120ms"
+  rank        = 2
+}
+
+rules {
+  cold_for      = "12s"
+  cold_from     = 0.25
+  cold_bears    = 24
+  overload      = 3
+  overload_for  = "2s"
+  drain_grace   = "250ms"
+  binds         = 4
+  confirms      = "accepted"
+  list          = "push"
+}
+
+load {
+  rate = 8
+}
+
+list {
+  lag = "400ms"
+  lines_per_second = 20000
+}
+
+gang "tiles" {
+  group   = "serve"
+  rate    = 0.5
+  parts   = 4
+  cores   = 6
+  memory  = 10
+  life    = "6s"
+  pending = "8s"
+  spread  = "node"
+}
+
+gang "county" {
+  group   = "trace"
+  rate    = 0.15
+  parts   = 3
+  cores   = 8
+  memory  = 12
+  life    = "6s"
+  pending = "9s"
+}
+
+gang "checks" {
+  group   = "serve"
+  rate    = 0.4
+  parts   = 5
+  need    = 4
+  cores   = 3
+  memory  = 5
+  life    = "9s"
+  pending = "8s"
+  replace = true
+  replace_within = "3s"
+}
+
+fault "crash" {
+  at   = "5s"
+  for  = "4s"
+  part = 0.3
+}
+
+fault "stall" {
+  at    = "8s"
+  for   = "8s"
+  part  = 0.3
+  size  = 400
+  every = "1500ms"
+}
+
+fault "hall-cut" {
+  at   = "11s"
+  for  = "5s"
+  zone = "hall-b"
+}
+
+fault "deploy" {
+  at    = "15s"
+  part  = 0.5
+  size  = 0.2
+  every = "2s"
+  drain = "1s"
+}
