--- a/config/reader.go
+++ b/config/reader.go
@@ -89,13 +89,40 @@
 	return strings.ToLower(s[:1]) + s[1:]
 }
 
+// Inherit takes from another file what this one does not say: arguments, and blocks of kinds that are not here. A
+// block without a name, which there is one of, takes from its like in turn.
+func (b *Block) Inherit(from *Block) { inherit(b.body, from.body) }
+
+func inherit(body, from *hclsyntax.Body) {
+	for name, a := range from.Attributes {
+		if body.Attributes[name] == nil {
+			if body.Attributes == nil {
+				body.Attributes = hclsyntax.Attributes{}
+			}
+			body.Attributes[name] = a
+		}
+	}
+	own := map[string]*hclsyntax.Block{}
+	for _, block := range body.Blocks {
+		own[block.Type] = block
+	}
+	for _, block := range from.Blocks {
+		switch mine := own[block.Type]; {
+		case mine == nil:
+			body.Blocks = append(body.Blocks, block)
+		case len(mine.Labels) == 0 && len(block.Labels) == 0:
+			inherit(mine.Body, block.Body)
+		}
+	}
+}
+
 // Problem notes that something is wrong with an argument, or with the block where it has no such argument.
 func (b *Block) Problem(name, what, fix string) {
-	line := b.line
+	file, line := b.file, b.line
 	if a := b.body.Attributes[name]; a != nil {
-		line = a.SrcRange.Start.Line
+		file, line = a.SrcRange.Filename, a.SrcRange.Start.Line
 	}
-	*b.all = append(*b.all, Problem{b.file, line, what, fix})
+	*b.all = append(*b.all, Problem{file, line, what, fix})
 }
 
 // Has tells whether the argument is given.
@@ -268,7 +295,7 @@
 			continue
 		}
 		c := &Block{
-			body: n.Body, known: map[string]bool{}, file: b.file, line: n.TypeRange.Start.Line, all: b.all,
+			body: n.Body, known: map[string]bool{}, file: n.TypeRange.Filename, line: n.TypeRange.Start.Line, all: b.all,
 		}
 		if len(n.Labels) > 0 {
 			c.Name = n.Labels[0]
@@ -330,13 +357,13 @@
 func (b *Block) strangers() {
 	for name, a := range b.body.Attributes {
 		if !b.known[name] {
-			*b.all = append(*b.all, Problem{b.file, a.SrcRange.Start.Line, name + " is not known here", b.nearest(name)})
+			*b.all = append(*b.all, Problem{a.SrcRange.Filename, a.SrcRange.Start.Line, name + " is not known here", b.nearest(name)})
 		}
 	}
 	for _, n := range b.body.Blocks {
 		if !b.known[n.Type] {
 			*b.all = append(*b.all, Problem{
-				b.file, n.TypeRange.Start.Line, "a block " + n.Type + " is not known here", b.nearest(n.Type),
+				n.TypeRange.Filename, n.TypeRange.Start.Line, "a block " + n.Type + " is not known here", b.nearest(n.Type),
 			})
 		}
 	}
--- a/internal/command/command_test.go
+++ b/internal/command/command_test.go
@@ -39,7 +39,8 @@
 		{"serve --config nowhere.hcl", 2, "no such file"},
 		{"config check " + bad, 2, "bad.hcl:2: cores is -1; write a number from 0.001"},
 		{"nodes --to 127.0.0.1:1", 1, "no allocator at 127.0.0.1:1"},
-		{"submit --cores 1", 2, "required flag(s)"},
+		{"submit --cores 1", 2, "--group is missing"},
+		{"submit --gang " + bad, 2, "bad.hcl:1: no part; write at least one"},
 	} {
 		code, _, errs := run(strings.Fields(c.args)...)
 		assert.Equal(t, c.code, code, c.args)
--- a/internal/command/lab.go
+++ b/internal/command/lab.go
@@ -7,6 +7,8 @@
 	"io"
 	"log/slog"
 	"maps"
+	"os"
+	"path/filepath"
 	"slices"
 	"strings"
 	"time"
@@ -19,7 +21,7 @@
 
 func labCommand() *cobra.Command {
 	c := &cobra.Command{Use: "lab", Short: "Play days of trouble with stand-ins for nodes, list and owners"}
-	c.AddCommand(labListCommand(), labPlayCommand(), labFleetCommand())
+	c.AddCommand(labListCommand(), labPlayCommand(), labHuntCommand(), labFleetCommand())
 	return c
 }
 
@@ -52,7 +54,8 @@
 	var o lab.Options
 	var virtual, asJSON, verbose bool
 	var allocators, nodes int
-	var rate float64
+	var rate, load float64
+	var policy string
 	var length time.Duration
 	var sabotage string
 	c := &cobra.Command{
@@ -76,6 +79,15 @@
 			if rate > 0 {
 				s.Owner.Rate = rate
 			}
+			if load > 0 {
+				s.Load(load)
+			}
+			switch p := lab.GangPolicy(policy); p {
+			case lab.Together, lab.Independent, lab.ForEver:
+				s.Owner.Policy = p
+			default:
+				return fmt.Errorf("--gangs %q is not known; known are together, independent, for-ever", policy)
+			}
 			if _, ok := lab.Sabotages[lab.Sabotage(sabotage)]; !ok && sabotage != "" {
 				known := slices.Sorted(maps.Keys(lab.Sabotages))
 				return fmt.Errorf("--break %q is not known; known are %v", sabotage, known)
@@ -95,6 +107,8 @@
 	f.IntVar(&nodes, "nodes", 0, "so many nodes instead of the script's; the load follows")
 	f.Float64Var(&rate, "rate", 0, "so many new workloads a second instead of the script's")
 	f.DurationVar(&length, "for", 0, "another length of the day; the faults follow")
+	f.Float64Var(&load, "load", 0, "ask for that share of the fleet's cores, in the mean: 0.8 for 80%")
+	f.StringVar(&policy, "gangs", "together", "how owners ask for groups: together, or to compare independent or for-ever")
 	f.StringVar(&sabotage, "break", "", "let the allocators break a rule on purpose, to see the auditor catch it")
 	f.StringVar(&o.Trace, "trace", "", "record each allocator into a directory of its own below this one")
 	f.BoolVar(&verbose, "verbose", false, "show the allocators' log")
@@ -158,6 +172,11 @@
 		r.Unschedulable, r.Withdrawn, r.Cut, r.Unanswered)
 	fmt.Fprintf(w, "It took %d binds and %d moves; half of the workloads were placed within %.0f ms, 99%% within %.0f ms.\n",
 		r.Binds, r.Moves, r.WaitMedian, r.Wait99)
+	if r.Gangs > 0 {
+		fmt.Fprintf(w, "Of %d groups %d stood, half of them within %.0f ms, and %d were given up; %.1f%% of the parts' core time went to "+
+			"groups that did not stand. Parts of groups left standing: %d.\n", r.Gangs, r.GangsStood, r.GangMedian, r.GangsGivenUp,
+			100*r.GangWasted, r.PartialLeft)
+	}
 	var ends []string
 	for _, why := range slices.Sorted(maps.Keys(r.Ended)) {
 		ends = append(ends, fmt.Sprintf("%d %s", r.Ended[why], strings.ReplaceAll(strings.ToLower(why), "_", " ")))
@@ -166,7 +185,7 @@
 		fmt.Fprintf(w, "Of those placed have ended: %s.\n", strings.Join(ends, ", "))
 	}
 	if len(r.Broken) == 0 {
-		fmt.Fprintf(w, "The five rules held, by the %d frames that passed.\n", r.Frames)
+		fmt.Fprintf(w, "All rules held, by the %d frames that passed.\n", r.Frames)
 		return
 	}
 	fmt.Fprintf(w, "RULES WERE BROKEN, %d times:\n", len(r.Broken)+r.MoreBroken)
@@ -178,6 +197,93 @@
 	}
 }
 
+func labHuntCommand() *cobra.Command {
+	var h lab.Hunt
+	var seconds int
+	var dir, sabotage string
+	var asJSON bool
+	c := &cobra.Command{
+		Use:   "hunt --seconds N",
+		Short: "Search for days that break a rule, or on which most is lost",
+		Long: "Draws days with overlapping faults by chance, plays them in virtual time on all cores, and shrinks each that\n" +
+			"breaks a rule to the fewest faults and the smallest size that still break it. Exit status 1 if one does.",
+		Args: cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			if seconds < 0 || h.Days < 0 || seconds+h.Days == 0 || h.Allocators < 1 || h.Nodes < 4 || h.Worst < 0 {
+				return errors.New("give --seconds or --days above 0, --allocators of 1 and --nodes of 4 or more")
+			}
+			if _, ok := lab.Sabotages[lab.Sabotage(sabotage)]; !ok && sabotage != "" {
+				return fmt.Errorf("--break %q is not known; known are %v", sabotage, slices.Sorted(maps.Keys(lab.Sabotages)))
+			}
+			h.Time, h.Sabotage = time.Duration(seconds)*time.Second, lab.Sabotage(sabotage)
+			r, err := h.Run(c.Context(), func(days, finds int) {
+				fmt.Fprintf(c.ErrOrStderr(), "%d days, %d break a rule\n", days, finds)
+			})
+			if err != nil {
+				return failure{err}
+			}
+			if err := writeFinds(dir, r.Finds); err != nil {
+				return failure{err}
+			}
+			if asJSON {
+				err = printJSON(c, r)
+			} else {
+				tellHunt(c.OutOrStdout(), r, dir)
+			}
+			if err == nil && slices.ContainsFunc(r.Finds, func(f lab.Find) bool { return f.Rule > 0 }) {
+				err = errWrong
+			}
+			return err
+		},
+	}
+	f := c.Flags()
+	f.IntVar(&seconds, "seconds", 0, "hunt for so long; shrinking comes after")
+	f.IntVar(&h.Days, "days", 0, "hunt over so many days")
+	f.Uint64Var(&h.Seed, "seed", 1, "seed of the days that are drawn")
+	f.IntVar(&h.Allocators, "allocators", 16, "allocators of a day, at most")
+	f.IntVar(&h.Nodes, "nodes", 24, "nodes of a day, at most")
+	f.IntVar(&h.Worst, "worst", 1, "days to keep that break nothing and lose most")
+	f.StringVarP(&dir, "output", "o", "", "directory for the finds, as day scripts")
+	f.StringVar(&sabotage, "break", "", "let the allocators break a rule on purpose, to see the hunt find it")
+	jsonFlag(c, &asJSON)
+	return c
+}
+
+func writeFinds(dir string, finds []lab.Find) error {
+	if dir == "" {
+		return nil
+	}
+	if err := os.MkdirAll(dir, 0o755); err != nil {
+		return err
+	}
+	for _, f := range finds {
+		name := fmt.Sprintf("rule%d-day%d-seed%d.hcl", f.Rule, f.Day, f.Seed)
+		if f.Rule == 0 {
+			name = fmt.Sprintf("lost-day%d-seed%d.hcl", f.Day, f.Seed)
+		}
+		if err := os.WriteFile(filepath.Join(dir, name), []byte(f.Script), 0o644); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func tellHunt(w io.Writer, r *lab.HuntReport, dir string) {
+	n := r.Nearest
+	fmt.Fprintf(w, "%d days in %.0f s. Nearest approach to a limit, which is 1: answers %.3f, drains %.3f, cold nodes %.3f, spread %.3f.\n",
+		r.Days, r.Seconds, n.Answer, n.Drain, n.Cold, n.Spread)
+	for _, f := range r.Finds {
+		if f.Rule > 0 {
+			fmt.Fprintf(w, "RULE %d BROKEN on day %d and %d others: %s; shrunk: %s; seed %d\n", f.Rule, f.Day, f.Times-1, f.What, f.Shrunk, f.Seed)
+		} else {
+			fmt.Fprintf(w, "Most lost on day %d: %.1f%% of the workloads wanted were not placed at their first ask; seed %d\n", f.Day, 100*f.Lost, f.Seed)
+		}
+	}
+	if dir != "" && len(r.Finds) > 0 {
+		fmt.Fprintf(w, "Play them again: grebeglade lab play %s --virtual --seed SEED\n", filepath.Join(dir, "NAME.hcl"))
+	}
+}
+
 func labFleetCommand() *cobra.Command {
 	var script, list string
 	var nodes int
--- a/internal/command/operate.go
+++ b/internal/command/operate.go
@@ -14,13 +14,14 @@
 
 // verdict is what came of a workload that was submitted.
 type verdict struct {
-	Ask     uint64  `json:"ask"`
-	Key     uint64  `json:"key"`
-	Verdict string  `json:"verdict"`
-	Node    uint32  `json:"node,omitempty"`
-	Reason  string  `json:"reason,omitempty"`
-	TookMs  float64 `json:"took_ms"`
-	Ended   string  `json:"ended,omitempty"`
+	Ask     uint64   `json:"ask"`
+	Key     uint64   `json:"key"`
+	Verdict string   `json:"verdict"`
+	Node    uint32   `json:"node,omitempty"`
+	Nodes   []uint32 `json:"nodes,omitempty"` // of a gang's parts
+	Reason  string   `json:"reason,omitempty"`
+	TookMs  float64  `json:"took_ms"`
+	Ended   string   `json:"ended,omitempty"`
 }
 
 var verdictWords = map[pb.Verdict]string{
@@ -28,18 +29,26 @@
 }
 
 func submitCommand() *cobra.Command {
-	var to, group, owner string
+	var to, group, owner, gangFile string
 	var cores, memory float64
 	var service, key uint64
 	var runsFor, pending time.Duration
 	var wait, asJSON bool
 	c := &cobra.Command{
-		Use:   "submit --group NAME --cores N --memory N",
-		Short: "Ask an allocator to place a workload, and print the answer",
+		Use:   "submit --group NAME --cores N --memory N | submit --gang FILE",
+		Short: "Ask an allocator to place a workload, or a group that starts together, and print the answer",
 		Long: "Asks an allocator to place one workload and prints its one answer: placed, rejected (asking again does\n" +
 			"no harm) or unschedulable (it may have run). Exit status 0 only if it was placed.",
 		Args: cobra.NoArgs,
 		RunE: func(c *cobra.Command, _ []string) error {
+			if gangFile != "" {
+				return submitGang(c, to, owner, gangFile, wait, asJSON)
+			}
+			for _, name := range []string{"group", "cores", "memory"} {
+				if !c.Flags().Changed(name) {
+					return fmt.Errorf("--%s is missing; give --group, --cores and --memory, or --gang FILE", name)
+				}
+			}
 			if key == 0 {
 				key = rand.Uint64()
 			}
@@ -91,11 +100,7 @@
 	f.StringVar(&owner, "owner", fmt.Sprintf("submit-%d", os.Getpid()), "name of the owner")
 	f.BoolVar(&wait, "wait", false, "wait until a placed workload has ended")
 	jsonFlag(c, &asJSON)
-	for _, name := range []string{"group", "cores", "memory"} {
-		if err := c.MarkFlagRequired(name); err != nil {
-			panic(err)
-		}
-	}
+	f.StringVar(&gangFile, "gang", "", "file in HCL with a group that starts together or not at all")
 	return c
 }
 
@@ -108,6 +113,10 @@
 		out := c.OutOrStdout()
 		switch v.Verdict {
 		case "placed":
+			if len(v.Nodes) > 0 {
+				fmt.Fprintf(out, "standing after %.0f ms, on nodes %s\n", v.TookMs, nodesText(v.Nodes))
+				break
+			}
 			fmt.Fprintf(out, "placed on node %d after %.0f ms\n", v.Node, v.TookMs)
 		default:
 			fmt.Fprintf(out, "%s after %.0f ms: %s\n", v.Verdict, v.TookMs, v.Reason)
--- a/internal/command/trace.go
+++ b/internal/command/trace.go
@@ -13,6 +13,7 @@
 
 	"grebeglade/choice"
 	"grebeglade/config"
+	"grebeglade/internal/port"
 	"grebeglade/internal/replay"
 	"grebeglade/trace"
 	"grebeglade/trace/tracepb"
@@ -496,11 +497,11 @@
 					return err
 				}
 				o.Settings = func(was choice.Settings) (choice.Settings, error) {
-					if len(conf.Settings.Groups) != len(was.Groups) || len(conf.Settings.Kinds) != len(was.Kinds) {
+					s := port.WithSpreads(conf.Settings)
+					if len(s.Groups) != len(was.Groups) || len(s.Kinds) != len(was.Kinds) {
 						return was, fmt.Errorf("the settings have %d groups and %d kinds, the trace has %d and %d; they must be as many",
-							len(conf.Settings.Groups), len(conf.Settings.Kinds), len(was.Groups), len(was.Kinds))
+							len(conf.Groups), len(s.Kinds), len(was.Groups)*len(conf.Groups)/len(s.Groups), len(was.Kinds))
 					}
-					s := conf.Settings
 					s.Allocators, s.Ordinal, s.Zone = was.Allocators, was.Ordinal, was.Zone
 					return s, nil
 				}
--- a/internal/lab/audit.go
+++ b/internal/lab/audit.go
@@ -50,6 +50,9 @@
 	Offers int
 	Frames int
 
+	Nearest Nearest // how near to the limits it came
+
+	dead    map[string]bool // allocators
 	gangs   map[askRef]*gangSeen
 	parts   map[bindKey]*partSeen // that stand on nodes
 	spent   float64               // core seconds that parts stood, and those of groups that did not stand
@@ -140,7 +143,7 @@
 	return &Auditor{
 		terms: t, allocs: map[string]*allocatorSeen{}, conns: map[*Gate]map[link.ConnID]*connSeen{},
 		asks: map[askRef]*askSeen{}, nodes: map[uint32]*nodeSeen{}, starts: map[uint64][]bindKey{},
-		gangs: map[askRef]*gangSeen{}, parts: map[bindKey]*partSeen{},
+		dead: map[string]bool{}, gangs: map[askRef]*gangSeen{}, parts: map[bindKey]*partSeen{},
 	}
 }
 
@@ -183,6 +186,9 @@
 	if !alive && g.Role == pb.Role_NODE {
 		a.nodeDied(now, uint32(g.ID))
 	}
+	if g.Role == pb.Role_ALLOCATOR {
+		a.allocatorLives(now, g.Name, alive)
+	}
 	if alive || g.Role != pb.Role_ALLOCATOR {
 		return
 	}
@@ -244,7 +250,7 @@
 		return
 	}
 	seen := frameSeen{now, g.Name, out, f}
-	a.gangFrame(now, g, seen)
+	a.gangFrame(now, g, c, seen)
 	switch g.Role {
 	case pb.Role_OWNER:
 		a.atOwner(now, g, c, seen)
@@ -331,6 +337,9 @@
 			a.breaks(1, now, 0, w, "a second answer")
 		}
 		a.unanswered(now, w)
+		if !w.answered && !w.excused {
+			a.Nearest.Answer = max(a.Nearest.Answer, 1-float64((w.deadline-now)/max(1, choice.Millis(w.ask.LeftMs)+a.terms.Slack)))
+		}
 		w.answered = true
 	}
 }
@@ -396,8 +405,9 @@
 	case *pb.Frame_OfferAnswer:
 		if o := s.open[keyOf(b.OfferAnswer.Bind)]; o != nil {
 			o.wl.frames = append(o.wl.frames, seen)
-			o.closed, o.stands = true, b.OfferAnswer.Accepted
-			if !o.stands {
+			// A yes that comes after the offer's time is to a bind that was given up; its stop is on the way.
+			o.closed, o.stands = true, b.OfferAnswer.Accepted && now <= o.sent+o.within
+			if !b.OfferAnswer.Accepted {
 				o.never = true
 				delete(s.open, o.key)
 			}
@@ -509,6 +519,9 @@
 	}
 	t := a.told(s, node)
 	for _, since := range [2]choice.Millis{t.listGone, t.nodeDrains} {
+		if since >= 0 && a.terms.DrainGrace > 0 {
+			a.Nearest.Drain = max(a.Nearest.Drain, float64((now-since)/a.terms.DrainGrace))
+		}
 		if since >= 0 && now > since+a.terms.DrainGrace {
 			a.breaks(3, now, node, w, fmt.Sprintf("an offer %.0f ms after it was told that the node drains or is gone", now-since))
 			break
@@ -526,6 +539,7 @@
 			held++
 		}
 	}
+	a.Nearest.Spread = max(a.Nearest.Spread, float64(held)/float64(max(1, g.SpreadMost)))
 	if held > g.SpreadMost {
 		a.breaks(5, now, node, w, fmt.Sprintf("%d of the service in one %s where %d are allowed", held, place[g.Spread], g.SpreadMost))
 	}
@@ -595,6 +609,7 @@
 		}
 	}
 	pace := m.ColdFrom + (1-m.ColdFrom)*float64(up/m.ColdFor)
+	a.Nearest.Cold = max(a.Nearest.Cold, float64(len(window))/m.bears(pace))
 	if bears := m.bears(pace); float64(len(window)) > bears && 3*knew >= 2*len(window) {
 		a.breaks(4, now, id, nil, fmt.Sprintf("%d offers within %.0f ms at a cold node that bears %.0f",
 			len(window), m.OverloadFor, bears), window...)
--- a/internal/lab/auditgangs.go
+++ b/internal/lab/auditgangs.go
@@ -6,6 +6,7 @@
 	"slices"
 
 	"grebeglade/choice"
+	"grebeglade/internal/link"
 	pb "grebeglade/proto/grebeglade/v1"
 )
 
@@ -23,10 +24,11 @@
 	need     int
 	standing map[uint32]*partSeen // by part
 	stood    bool                 // its owner was told
-	ends     bool                 // a part came to its own end
+	ends     bool                 // it stood, and a part has come to its own end
 	partial  choice.Millis        // since when some parts stand and not enough, below 0: not
 	lease    choice.Millis
 	told     bool // on
+	alloc    string
 	parts    map[uint64]*askSeen
 }
 
@@ -62,7 +64,7 @@
 	g := a.gangs[ref]
 	if g == nil {
 		g = &gangSeen{
-			ref: ref, need: int(o.Gang.Need), standing: map[uint32]*partSeen{}, partial: -1, parts: map[uint64]*askSeen{},
+			ref: ref, need: int(o.Gang.Need), alloc: o.Bind.Allocator, standing: map[uint32]*partSeen{}, partial: -1, parts: map[uint64]*askSeen{},
 		}
 		a.gangs[ref] = g
 	}
@@ -97,8 +99,12 @@
 }
 
 // gangFrame follows the parts of groups at the nodes.
-func (a *Auditor) gangFrame(now choice.Millis, g *Gate, seen frameSeen) {
+func (a *Auditor) gangFrame(now choice.Millis, g *Gate, c link.ConnID, seen frameSeen) {
 	switch b := seen.f.Body.(type) {
+	case *pb.Frame_Hello:
+		if peer := a.conns[g][c]; g.Role == pb.Role_NODE && seen.out && peer != nil {
+			a.nodeTells(now, uint32(g.ID), peer.name, b.Hello)
+		}
 	case *pb.Frame_Offer:
 		if g.Role == pb.Role_NODE && !seen.out && b.Offer.Gang != nil {
 			if s := a.gang(b.Offer); a.parts[keyOf(b.Offer.Bind)] == nil {
@@ -122,6 +128,30 @@
 	}
 }
 
+// nodeTells takes a node's account to an allocator: what it does not name ended while nobody was told.
+func (a *Auditor) nodeTells(now choice.Millis, node uint32, allocator string, h *pb.Hello) {
+	named := map[bindKey]bool{}
+	for _, s := range h.Standing {
+		named[keyOf(s.Offer.Bind)] = true
+	}
+	for k, p := range a.parts {
+		if p.node == node && k.allocator == allocator && p.since >= 0 && !named[k] {
+			a.partGone(now, k, p, pb.Why_LOST)
+		}
+	}
+}
+
+// allocatorLives notes whether an allocator runs. While it does not, ends of parts go over no connection, and a
+// group that was declared standing has nobody to mend it.
+func (a *Auditor) allocatorLives(now choice.Millis, name string, alive bool) {
+	a.dead[name] = !alive
+	for _, g := range a.gangs {
+		if g.alloc == name && g.partial >= 0 {
+			g.partial = now
+		}
+	}
+}
+
 func (a *Auditor) partStands(now choice.Millis, p *partSeen) {
 	if p.since >= 0 {
 		return
@@ -140,7 +170,7 @@
 			a.wasted += spent
 		}
 	}
-	if why == pb.Why_FINISHED {
+	if why == pb.Why_FINISHED && g.stood {
 		g.ends = true
 	}
 	if g.standing[p.part] == p {
@@ -163,7 +193,7 @@
 
 // tell tells on a group that is partial for longer than its lease and the time to settle.
 func (a *Auditor) tell(now choice.Millis, g *gangSeen) {
-	if g.partial < 0 || g.told || now-g.partial <= g.lease+partialMost {
+	if g.partial < 0 || g.told || g.stood && a.dead[g.alloc] || now-g.partial <= g.lease+partialMost {
 		return
 	}
 	g.told = true
--- a/internal/lab/day.go
+++ b/internal/lab/day.go
@@ -28,6 +28,7 @@
 	Seed     uint64
 	Sabotage Sabotage // an engine that breaks a rule on purpose
 	Log      *slog.Logger
+	Mishap   *Mishap
 	Trace    string // directory that takes a trace of each allocator, in one of its own; "" for none
 }
 
@@ -59,16 +60,18 @@
 	Wait99        float64        `json:"wait_p99_ms"`
 	Fell          int            `json:"fell"` // cold nodes pushed over
 
-	Gangs        int      `json:"gangs"`               // that owners wanted
-	GangsStood   int      `json:"gangs_standing"`      // that stood at some time
-	GangsGivenUp int      `json:"gangs_given_up"`      // that never did, and are not asked for any more
-	PartialLeft  int      `json:"partial_groups_left"` // by the auditor, after the settle time
-	GangMedian   float64  `json:"gang_wait_median_ms"` // from a group's first ask until it stood
-	GangWasted   float64  `json:"gang_wasted_share"`   // of the core time of parts, that of groups that did not stand
-	GangStops    uint64   `json:"gang_stops"`          // parts that allocators stopped
+	FirstPlaced  float64  `json:"singles_placed_at_first"` // share of workloads in no group that their first ask placed
+	Gangs        int      `json:"gangs"`                   // that owners wanted
+	GangsStood   int      `json:"gangs_standing"`          // that stood at some time
+	GangsGivenUp int      `json:"gangs_given_up"`          // that never did, and are not asked for any more
+	PartialLeft  int      `json:"partial_groups_left"`     // by the auditor, after the settle time
+	GangMedian   float64  `json:"gang_wait_median_ms"`     // from a group's first ask until it stood
+	GangWasted   float64  `json:"gang_wasted_share"`       // of the core time of parts, that of groups that did not stand
+	GangStops    uint64   `json:"gang_stops"`              // parts that allocators stopped
 	Frames       int      `json:"frames"`
 	DaySeconds   float64  `json:"day_seconds"`
 	RanSeconds   float64  `json:"ran_seconds"`
+	Nearest      Nearest  `json:"nearest"` // how near to its limits it came
 	Digest       string   `json:"digest"`
 	Broken       []Broken `json:"broken"`
 	MoreBroken   int      `json:"more_broken,omitempty"`
@@ -230,7 +233,9 @@
 	name := fmt.Sprintf("allocator-%d", i+1)
 	d.ports = append(d.ports, nil)
 	var recorder *trace.Recorder
-	return NewGate(name, pb.Role_ALLOCATOR, i, d.w, func(inc uint64) link.Party {
+	var gate *Gate
+	frames := 0
+	gate = NewGate(name, pb.Role_ALLOCATOR, i, d.w, func(inc uint64) link.Party {
 		c := port.Config{
 			Name: name, Incarnation: inc, Seed: hashOf(d.opts.Seed, uint64(i)<<20|inc), Settings: settings,
 			Groups: s.Groups, Kinds: s.Kinds, Zone: d.zone(i), List: list, MostHeld: s.Limits.Workloads,
@@ -246,8 +251,27 @@
 		}
 		p := port.New(c)
 		d.ports[i] = append(d.ports[i], p)
+		if m := d.opts.Mishap; m != nil && i == 0 {
+			return &unlucky{
+				Party: p, m: m, seen: &frames,
+				delay: func(at choice.Millis, do func(now choice.Millis)) {
+					d.host.Do(gate, at, func(now choice.Millis) {
+						if gate.Alive() {
+							do(now)
+						}
+					})
+				},
+				crash: func(now choice.Millis) {
+					gate.Kill(now)
+					if m.Back {
+						d.host.Do(gate, now+mishapAway, gate.Restart)
+					}
+				},
+			}
+		}
 		return d.opts.Sabotage.around(p)
 	})
+	return gate
 }
 
 // record begins the trace of an allocator's life, after the end of the one before.
@@ -320,13 +344,14 @@
 	s := d.script
 	r := &Result{
 		Name: s.Name, About: s.About, Seed: d.opts.Seed, Allocators: s.Allocators, Nodes: len(d.nodes),
-		Ended: map[string]int{}, Frames: a.Frames, Broken: a.Broken, MoreBroken: a.More, Fell: len(d.fell),
+		Ended: map[string]int{}, Frames: a.Frames, Broken: a.Broken, MoreBroken: a.More, Fell: len(d.fell), Nearest: a.Nearest,
 		DaySeconds: float64(s.Length) / 1000,
 	}
 	if r.Broken == nil {
 		r.Broken = []Broken{}
 	}
 	var waits, gangWaits []float64
+	singles, placedFirst, wasted, used := 0, 0, 0.0, 0.0
 	for _, g := range d.owners {
 		t := &g.Inner().(*Owner).Tally
 		r.Workloads += t.Asks
@@ -339,6 +364,9 @@
 		r.Unanswered += t.Unanswered
 		waits = append(waits, t.Waits...)
 		gangWaits = append(gangWaits, t.GangWaits...)
+		wasted, used = wasted+t.Wasted, used+t.Used
+		singles += t.SinglesFirst
+		placedFirst += t.SinglesPlaced
 		r.Gangs += t.Gangs
 		r.GangsStood += t.GangsStood
 		r.GangsGivenUp += t.GangsGivenUp
@@ -346,9 +374,13 @@
 			r.Ended[why.String()] += n
 		}
 	}
+	r.FirstPlaced = float64(placedFirst) / float64(max(1, singles))
 	slices.Sort(gangWaits)
 	r.GangMedian = percentile(gangWaits, 0.5)
 	r.PartialLeft, r.GangWasted = a.Partial, a.wastedShare()
+	if wasted+used > 0 {
+		r.GangWasted = wasted / (wasted + used)
+	}
 	slices.Sort(waits)
 	r.WaitMedian, r.Wait99 = percentile(waits, 0.5), percentile(waits, 0.99)
 	digest := xxhash.New()
--- a/internal/lab/gangs.go
+++ b/internal/lab/gangs.go
@@ -103,6 +103,21 @@
 	}
 	o.net.Send(w.conn, &pb.Frame{Body: &pb.Frame_GangAsk{GangAsk: a}})
 	o.timers.At(now+d.Pending+o.model.Slack, func(now choice.Millis) { o.giveUp(now, no, w) })
+	if o.rng.Float64() < o.model.Withdraws {
+		o.timers.At(now+choice.Millis(o.rng.Float64())*d.Life/4, func(now choice.Millis) { o.gangWithdraw(now, no, w) })
+	}
+}
+
+// gangWithdraw takes a group back, in the middle of whatever it is at.
+func (o *Owner) gangWithdraw(_ choice.Millis, no uint64, w *wanted) {
+	if o.asks[no] != w {
+		return
+	}
+	if !w.placed {
+		o.Tally.Withdrawn++
+	}
+	o.drop(no, w)
+	o.gangGivenUp(w.gang)
 }
 
 func (o *Owner) gangAnswered(now choice.Millis, w *wanted, a *pb.Answer) {
@@ -111,6 +126,7 @@
 	case pb.Verdict_PLACED:
 		o.Tally.Placed++
 		w.placed = true
+		w.asked = now // from here on it takes room
 		if g.placed[w.part] = w; o.model.Policy == Independent {
 			o.gangWhole(now, g)
 			return
@@ -201,7 +217,8 @@
 }
 
 func (o *Owner) gangWhole(now choice.Millis, g *wantedGang) {
-	if len(g.placed) >= g.demand.Need {
+	if len(g.placed) >= g.demand.Need && !g.stood {
+		o.Tally.Used += float64(g.demand.Life) / 1000 * g.demand.Shape[0] * float64(len(g.placed))
 		o.gangStood(now, g)
 	}
 }
@@ -215,6 +232,8 @@
 		if w := o.asks[no]; w.gang == g {
 			if !w.placed {
 				o.Tally.Withdrawn++
+			} else {
+				o.Tally.Wasted += float64(now-w.asked) / 1000 * g.demand.Shape[0]
 			}
 			o.drop(no, w)
 		}
--- a/internal/lab/lab_test.go
+++ b/internal/lab/lab_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"testing"
@@ -75,6 +76,73 @@
 	kept(t, play(t, s, Options{Seed: 1}))
 }
 
+// Two, ten and a hundred groups of half the fleet each, on as many allocators.
+func TestGroupsOfHalfTheFleetCompeteAndSomeStand(t *testing.T) {
+	for _, allocators := range []int{2, 10, 100} {
+		s := open(t, "gang-contest")
+		s.Resize(allocators, 0)
+		s.Owner.Rate = 1
+		s.Owner.Gangs[0].Parts, s.Owner.Gangs[0].Need, s.Owner.Gangs[0].Spread = s.Nodes()/2, s.Nodes()/2, "node"
+		s.Owner.Gangs[0].Rate = float64(allocators) / 8
+		r := play(t, s, Options{Seed: 1})
+		kept(t, r)
+		assert.Zero(t, r.PartialLeft)
+		assert.NotZero(t, r.GangsStood, "%d allocators", allocators)
+	}
+}
+
+func TestAGroupThatCannotFitIsRejectedAndOneOnASingleNodeStands(t *testing.T) {
+	day := func(change func(*GangDemand)) *Result {
+		s := open(t, "gang-contest")
+		s.Resize(1, 0)
+		s.Owner.Rate, s.Owner.Gangs[0].Rate = 0.5, 0.5
+		change(&s.Owner.Gangs[0])
+		r := play(t, s, Options{Seed: 1})
+		assert.Empty(t, r.Broken)
+		return r
+	}
+	larger := day(func(g *GangDemand) { g.Parts, g.Need = 50, 50 })
+	assert.Zero(t, larger.GangsStood)
+	assert.Zero(t, larger.GangStops, "nothing of it was ever sent")
+	one := day(func(g *GangDemand) { g.Parts, g.Need, g.Shape, g.Spread = 3, 3, [2]float64{13, 20}, "" })
+	assert.NotZero(t, one.GangsStood)
+}
+
+// single is a small day with one group after another on four nodes.
+func single(t *testing.T, group string, replace bool) *Script {
+	s := open(t, "gang-contest")
+	s.Resize(1, 4)
+	s.Owners, s.Length, s.Owner.Rate, s.Owner.Withdraws = 1, 3000, 0, 0
+	s.Owner.Gangs = []GangDemand{{
+		Group: group, Effect: s.Settings.Groups[slices.Index(s.Groups, group)].Effect, Rate: 0.6, Parts: 3, Need: 3,
+		Shape: [2]float64{10, 10}, Life: 2500, Pending: 4000, Replace: replace, ReplaceWithin: 1500,
+	}}
+	return s
+}
+
+// Each frame between an allocator and its nodes is lost, doubled, delayed, its connection cut, or the allocator
+// dies as it passes and comes back, or never does: whatever happens, no part of a group is left.
+func TestNoMishapAtAnyFrameLeavesAPartOfAGroup(t *testing.T) {
+	days := 0
+	for _, group := range []string{"serve", "check", "trace"} {
+		for _, kind := range Mishaps {
+			for frame := 1; frame <= 40; frame++ {
+				m := &Mishap{Kind: kind, Frame: frame, Back: frame%2 == 0}
+				r := play(t, single(t, group, frame%3 == 0), Options{Seed: 2, Mishap: m})
+				days++
+				for _, b := range r.Broken {
+					if kind == "double" && b.What == "the same bind sent twice" {
+						continue // the mishap itself
+					}
+					assert.Fail(t, b.What, "%s %+v: %v", group, *m, b.Frames)
+				}
+				assert.Zero(t, r.PartialLeft, "%s %+v", group, *m)
+			}
+		}
+	}
+	t.Logf("%d days", days)
+}
+
 // The first proof, on sockets: a rough day with overlapping troubles.
 func TestARoughDayOverSocketsKeepsTheRules(t *testing.T) {
 	s := open(t, "rough")
@@ -89,11 +157,15 @@
 	// The days on which each has occasion to break its rule.
 	days := map[Sabotage]string{
 		NoAnswer: "quiet", TwoAnswers: "quiet", LateAnswer: "full", OffersAfter: "quiet", TwoBinds: "quiet",
-		RejectsMaybe: "hall-cut", DrainDeaf: "deploy", ColdBlind: "cold-herd", SpreadBlind: "full",
+		RejectsMaybe: "hall-cut", DrainDeaf: "deploy", ColdBlind: "cold-herd", SpreadBlind: "full", LeavesParts: "gang-contest",
 	}
 	for how, rule := range Sabotages {
 		t.Run(string(how), func(t *testing.T) {
-			r := play(t, open(t, days[how]), Options{Seed: 1, Sabotage: how})
+			s := open(t, days[how])
+			for i := range s.Owner.Gangs {
+				s.Owner.Gangs[i].Life = 60e3 // longer than a lease and the time to settle
+			}
+			r := play(t, s, Options{Seed: 1, Sabotage: how})
 			require.NotEmpty(t, r.Broken)
 			found := false
 			for _, b := range r.Broken {
--- /dev/null
+++ b/internal/lab/mishap.go
@@ -0,0 +1,84 @@
+package lab
+
+import (
+	"grebeglade/choice"
+	"grebeglade/internal/link"
+	pb "grebeglade/proto/grebeglade/v1"
+)
+
+// Mishap is one thing that goes wrong with one frame between an allocator and its nodes, or with the allocator
+// as it passes: tests try each kind at each frame.
+type Mishap struct {
+	Kind  string // lose, double, delay, cut, crash
+	Frame int    // counted from 1 over the frames of offers, answers, stops, ends, notes and keeps, both ways
+	Back  bool   // a crashed allocator comes back
+}
+
+// Mishaps are the kinds.
+var Mishaps = []string{"lose", "double", "delay", "cut", "crash"}
+
+const (
+	mishapDelay = choice.Millis(700)
+	mishapAway  = choice.Millis(900) // that a crashed allocator is away
+)
+
+// unlucky stands between an allocator and its gate, and lets the mishap happen.
+type unlucky struct {
+	link.Party
+	m     *Mishap
+	net   link.Net
+	seen  *int // frames so far, over all lives of the allocator
+	delay func(at choice.Millis, do func(now choice.Millis))
+	crash func(now choice.Millis)
+}
+
+func (u *unlucky) Start(now choice.Millis, net link.Net) {
+	u.net = net
+	u.Party.Start(now, u)
+}
+
+func (u *unlucky) Dial(addr string) link.ConnID { return u.net.Dial(addr) }
+func (u *unlucky) Close(c link.ConnID)          { u.net.Close(c) }
+func (u *unlucky) WakeAt(t choice.Millis)       { u.net.WakeAt(t) }
+func (u *unlucky) Now() choice.Millis           { return u.net.Now() }
+
+// struck counts a frame and tells whether it is the one.
+func (u *unlucky) struck(f *pb.Frame) bool {
+	switch f.Body.(type) {
+	case *pb.Frame_Offer, *pb.Frame_OfferAnswer, *pb.Frame_Stop, *pb.Frame_End, *pb.Frame_Note, *pb.Frame_Keep:
+		*u.seen++
+		return *u.seen == u.m.Frame
+	}
+	return false
+}
+
+func (u *unlucky) Send(c link.ConnID, f *pb.Frame) {
+	if !u.struck(f) {
+		u.net.Send(c, f)
+		return
+	}
+	u.strike(u.net.Now(), c, func(choice.Millis) { u.net.Send(c, f) })
+}
+
+func (u *unlucky) Received(now choice.Millis, c link.ConnID, f *pb.Frame) {
+	if !u.struck(f) {
+		u.Party.Received(now, c, f)
+		return
+	}
+	u.strike(now, c, func(now choice.Millis) { u.Party.Received(now, c, f) })
+}
+
+func (u *unlucky) strike(now choice.Millis, c link.ConnID, pass func(now choice.Millis)) {
+	switch u.m.Kind {
+	case "double":
+		pass(now)
+		pass(now)
+	case "delay":
+		u.delay(now+mishapDelay, pass)
+	case "cut":
+		u.net.Close(c)
+		u.delay(now, func(now choice.Millis) { u.Party.Closed(now, c, "cut") })
+	case "crash":
+		u.delay(now, u.crash)
+	}
+}
--- a/internal/lab/node.go
+++ b/internal/lab/node.go
@@ -485,9 +485,13 @@
 	for _, w := range n.line {
 		if w.offer != nil && keyOf(w.offer.Bind) == k {
 			w.off = true
+			return
 		}
 	}
-	if t := n.byBind[k]; t != nil && !s.OnlyWaiting {
+	switch t := n.byBind[k]; {
+	case t == nil: // it ended before, and word of that may have been lost
+		n.tell(s.Bind.Allocator, &pb.Frame{Body: &pb.Frame_End{End: &pb.End{Bind: s.Bind, Why: pb.Why_STOPPED}}})
+	case !s.OnlyWaiting:
 		n.end(now, t, pb.Why_STOPPED)
 	}
 }
--- a/internal/lab/owner.go
+++ b/internal/lab/owner.go
@@ -75,8 +75,10 @@
 	Unanswered                                    int
 	Ended                                         map[pb.Why]int
 	Waits                                         []float64 // ms from a first ask to its yes
+	SinglesFirst, SinglesPlaced                   int       // of workloads in no group: wanted, and placed at their first ask
 	Gangs, GangsStood, GangsGivenUp               int       // groups that were wanted, that stood, that never did
 	GangWaits                                     []float64 // ms from the first ask for a group until it stood
+	Wasted, Used                                  float64   // core seconds that parts asked for by themselves stood in vain, and not
 }
 
 // Owner is a stand-in for those who ask for workloads.
@@ -259,6 +261,9 @@
 	switch a.Verdict {
 	case pb.Verdict_PLACED:
 		o.Tally.Placed++
+		if w.tries == 1 {
+			o.Tally.SinglesPlaced++
+		}
 		o.Tally.Waits = append(o.Tally.Waits, float64(now-w.asked))
 		w.placed = true
 	case pb.Verdict_REJECTED:
@@ -291,6 +296,7 @@
 		shape: d.Shapes[service%len(d.Shapes)], ends: now + o.life(d),
 	}
 	o.Tally.Firsts++
+	o.Tally.SinglesFirst++
 	o.ask(now, w)
 	if o.rng.Float64() < o.model.Withdraws {
 		// Every other time so soon that the answer is on its way.
--- a/internal/lab/sabotage.go
+++ b/internal/lab/sabotage.go
@@ -20,12 +20,13 @@
 	DrainDeaf    Sabotage = "drain-deaf"    // rule 3: drains are not heard
 	ColdBlind    Sabotage = "cold-blind"    // rule 4: all nodes count as warm
 	SpreadBlind  Sabotage = "spread-blind"  // rule 5: no group is spread
+	LeavesParts  Sabotage = "leaves-parts"  // check 6: parts are kept as they start, and never stopped
 )
 
 // Sabotages are all of them with the rule that each breaks.
 var Sabotages = map[Sabotage]int{
 	NoAnswer: 1, TwoAnswers: 1, LateAnswer: 1, OffersAfter: 1, TwoBinds: 2, RejectsMaybe: 2, DrainDeaf: 3,
-	ColdBlind: 4, SpreadBlind: 5,
+	ColdBlind: 4, SpreadBlind: 5, LeavesParts: 6,
 }
 
 // every is how many frames are left as they are for one that is tampered with.
@@ -99,6 +100,10 @@
 		if s.how == DrainDeaf {
 			return
 		}
+	case *pb.Frame_OfferAnswer:
+		if s.how == LeavesParts && b.OfferAnswer.Accepted {
+			s.net.Send(c, &pb.Frame{Body: &pb.Frame_Keep{Keep: &pb.Keep{Bind: b.OfferAnswer.Bind}}})
+		}
 	case *pb.Frame_ListUpdate:
 		f = s.mislead(b.ListUpdate)
 	}
@@ -129,6 +134,10 @@
 	case *pb.Frame_Answer:
 		s.answer(c, f, b.Answer)
 		return
+	case *pb.Frame_Stop:
+		if s.how == LeavesParts {
+			return
+		}
 	case *pb.Frame_Offer:
 		s.net.Send(c, f)
 		if s.how == TwoBinds && s.tamper() {
--- a/internal/lab/script.go
+++ b/internal/lab/script.go
@@ -113,6 +113,11 @@
 	if err != nil {
 		return nil, err
 	}
+	if like := b.Text("like", ""); like != "" {
+		if err := inherit(b, like); err != nil {
+			return nil, err
+		}
+	}
 	s := &Script{
 		Name:       strings.TrimSuffix(path.Base(file), ".hcl"),
 		About:      b.Text("about", ""),
@@ -299,3 +304,47 @@
 		f.For *= by
 	}
 }
+
+// Load has the day ask for that share of the cores of all nodes, in the mean: groups and single workloads grow
+// alike.
+func (s *Script) Load(share float64) {
+	cores, wanted := 0.0, 0.0
+	for i, n := range s.Counts {
+		cores += float64(n) * s.Settings.Kinds[i].Cores
+	}
+	for _, d := range s.Demand {
+		mean := 0.0
+		for _, shape := range d.Shapes {
+			mean += shape[0] / float64(len(d.Shapes))
+		}
+		wanted += s.Owner.Rate * d.Share * mean * float64(d.Life) / 1000
+	}
+	for _, g := range s.Owner.Gangs {
+		wanted += g.Rate * float64(g.Parts) * g.Shape[0] * float64(g.Life) / 1000
+	}
+	if wanted <= 0 {
+		return
+	}
+	s.Owner.Rate *= share * cores / wanted
+	for i := range s.Owner.Gangs {
+		s.Owner.Gangs[i].Rate *= share * cores / wanted
+	}
+}
+
+// inherit has a script take what it does not say from one that comes with the program.
+func inherit(b *config.Block, like string) error {
+	if !slices.Contains(Names(), like) {
+		b.Problem("like", fmt.Sprintf("no script is named %q", like), "write one of "+strings.Join(Names(), ", "))
+		return b.Done()
+	}
+	src, err := scripts.ReadFile("scripts/" + like + ".hcl")
+	if err != nil {
+		return err
+	}
+	from, err := config.Parse(like+".hcl", src)
+	if err != nil {
+		return err
+	}
+	b.Inherit(from)
+	return nil
+}
--- a/internal/port/gangs.go
+++ b/internal/port/gangs.go
@@ -39,6 +39,17 @@
 	return s
 }
 
+// groupNames are the names of groups and of their variants.
+func groupNames(base []string) []string {
+	names := slices.Clone(base)
+	for _, spread := range spreads {
+		for _, name := range base {
+			names = append(names, name+" apart by "+spread.word)
+		}
+	}
+	return names
+}
+
 // group is a gang on the wire.
 type group struct {
 	state   *gang.Gang // nil while parts of it are being found after a restart
@@ -248,7 +259,7 @@
 			}
 		})
 	case wl.stopped: // once more: the first stop may have been lost
-		if n := p.node(wl.nodes[len(wl.nodes)-1]); n != nil && n.ready {
+		if n := p.node(wl.last()); n != nil && n.ready {
 			p.stop(n, p.bindID(id, wl), false)
 		}
 	default:
@@ -265,7 +276,7 @@
 		if wl == nil || g.state.Parts[i] != gang.Running {
 			continue
 		}
-		if n := p.node(wl.nodes[len(wl.nodes)-1]); n != nil && n.ready {
+		if n := p.node(wl.last()); n != nil && n.ready {
 			p.net.Send(n.conn, &pb.Frame{Body: &pb.Frame_Keep{Keep: &pb.Keep{Bind: p.bindID(id, wl)}}})
 		}
 	}
@@ -288,7 +299,7 @@
 	for i, id := range g.parts {
 		node := uint32(0)
 		if wl := p.wls[id]; v == pb.Verdict_PLACED && wl != nil && g.state.Parts[i] == gang.Running {
-			node = uint32(wl.nodes[len(wl.nodes)-1])
+			node = uint32(wl.last())
 		}
 		a.Nodes = append(a.Nodes, node)
 	}
@@ -323,6 +334,9 @@
 }
 
 func (p *Port) partAnswered(id choice.WorkloadID, wl *workload, v allocator.Verdict) {
+	if p.tap != nil {
+		p.tap.Answered(p.now, id, uint8(v), wl.last(), "a part of a gang")
+	}
 	switch v {
 	case allocator.Placed:
 		if p.c.Settings.ConfirmsRunning {
@@ -332,7 +346,7 @@
 		p.partEvent(id, wl, func(now choice.Millis) []gang.Act { return wl.gang.state.Failed(now, wl.part, false) })
 	default:
 		// It may run where its last bind went. Its gang is undone, so nothing of it may be left.
-		to, bind := wl.nodes[len(wl.nodes)-1], p.bindID(id, wl)
+		to, bind := wl.last(), p.bindID(id, wl)
 		p.partEvent(id, wl, func(now choice.Millis) []gang.Act {
 			if n := p.node(to); n != nil && n.ready {
 				p.stop(n, bind, false)
--- a/internal/port/port.go
+++ b/internal/port/port.go
@@ -76,6 +76,14 @@
 	part    int
 }
 
+// last is the node that its last bind went to, 0 if there was none: no node has that number.
+func (wl *workload) last() choice.NodeID {
+	if len(wl.nodes) == 0 {
+		return 0
+	}
+	return wl.nodes[len(wl.nodes)-1]
+}
+
 // oldBind names a bind of an earlier incarnation.
 type oldBind struct {
 	node        choice.NodeID
@@ -184,7 +192,7 @@
 	if c.Trace != nil {
 		p.tap = replay.NewTap(replay.Began{
 			Source:   &tracepb.Source{Allocator: c.Name, Incarnation: c.Incarnation, WallMs: c.Wall},
-			Settings: c.Settings, Seed: c.Seed, Groups: c.Groups, Kinds: c.Kinds, Zones: []string{c.Zone},
+			Settings: c.Settings, Seed: c.Seed, Groups: groupNames(c.Groups), Kinds: c.Kinds, Zones: []string{c.Zone},
 		}, c.Trace)
 		o.Module = p.tap
 	}
--- a/internal/port/state.go
+++ b/internal/port/state.go
@@ -55,9 +55,7 @@
 	case wl.answer == allocator.Placed:
 		w.State = "placed"
 	}
-	if len(wl.nodes) > 0 {
-		w.Node = uint32(wl.nodes[len(wl.nodes)-1])
-	}
+	w.Node = uint32(wl.last())
 	return w
 }
 
