--- a/internal/lab/audit.go
+++ b/internal/lab/audit.go
@@ -237,7 +237,7 @@
 }
 
 // Frame takes one frame at one end.
-func (a *Auditor) Frame(now choice.Millis, g *Gate, c link.ConnID, out bool, f *pb.Frame) {
+func (a *Auditor) Frame(now, arrived choice.Millis, g *Gate, c link.ConnID, out bool, f *pb.Frame) {
 	a.Frames++
 	if h := f.GetHello(); h != nil && !out {
 		if a.conns[g] == nil {
@@ -257,7 +257,7 @@
 	case pb.Role_ALLOCATOR:
 		a.atAllocator(now, g, c, seen)
 	case pb.Role_NODE:
-		a.atNode(now, g, seen)
+		a.atNode(now, arrived, g, seen)
 	}
 }
 
@@ -561,7 +561,7 @@
 	return s == choice.ScopeAll
 }
 
-func (a *Auditor) atNode(now choice.Millis, g *Gate, seen frameSeen) {
+func (a *Auditor) atNode(now, arrived choice.Millis, g *Gate, seen frameSeen) {
 	n := a.node(uint32(g.ID))
 	switch b := seen.f.Body.(type) {
 	case *pb.Frame_Register:
@@ -575,7 +575,7 @@
 		}
 	case *pb.Frame_Offer:
 		if !seen.out {
-			a.arrives(now, uint32(g.ID), n, b.Offer, seen)
+			a.arrives(arrived, uint32(g.ID), n, b.Offer, seen)
 		}
 	case *pb.Frame_Note:
 		if b.Note.Kind == pb.Note_RUNNING {
--- a/internal/lab/auditgangs.go
+++ b/internal/lab/auditgangs.go
@@ -64,11 +64,11 @@
 	g := a.gangs[ref]
 	if g == nil {
 		g = &gangSeen{
-			ref: ref, need: int(o.Gang.Need), alloc: o.Bind.Allocator, standing: map[uint32]*partSeen{}, partial: -1, parts: map[uint64]*askSeen{},
+			ref: ref, need: int(o.GetGang().GetNeed()), alloc: o.Bind.Allocator, standing: map[uint32]*partSeen{}, partial: -1, parts: map[uint64]*askSeen{},
 		}
 		a.gangs[ref] = g
 	}
-	g.lease = max(g.lease, choice.Millis(o.Gang.LeaseMs))
+	g.lease = max(g.lease, choice.Millis(o.GetGang().GetLeaseMs()))
 	return g
 }
 
--- a/internal/lab/fleet.go
+++ b/internal/lab/fleet.go
@@ -11,10 +11,10 @@
 // silent sees nothing.
 type silent struct{}
 
-func (silent) Frame(choice.Millis, *Gate, link.ConnID, bool, *pb.Frame) {}
-func (silent) Conn(choice.Millis, *Gate, link.ConnID, bool)             {}
-func (silent) Life(choice.Millis, *Gate, bool)                          {}
-func (silent) Still(choice.Millis, *Gate, choice.Millis)                {}
+func (silent) Frame(choice.Millis, choice.Millis, *Gate, link.ConnID, bool, *pb.Frame) {}
+func (silent) Conn(choice.Millis, *Gate, link.ConnID, bool)                            {}
+func (silent) Life(choice.Millis, *Gate, bool)                                         {}
+func (silent) Still(choice.Millis, *Gate, choice.Millis)                               {}
 
 // StandFleet runs a script's machine list, at that address, and its nodes, so that an allocator started by hand
 // has something to place on. It returns the loop that they run on and the list's address.
--- a/internal/lab/gate.go
+++ b/internal/lab/gate.go
@@ -14,8 +14,8 @@
 
 // Witness sees what passes between a party and its connections, and nothing of what goes on inside it.
 type Witness interface {
-	// Frame is called when a party sends a frame (out), or is handed one.
-	Frame(now choice.Millis, g *Gate, c link.ConnID, out bool, f *pb.Frame)
+	// Frame is called when a party sends a frame (out), or is handed one, which may have waited since it arrived.
+	Frame(now, arrived choice.Millis, g *Gate, c link.ConnID, out bool, f *pb.Frame)
 	// Conn is called when a connection opens or closes.
 	Conn(now choice.Millis, g *Gate, c link.ConnID, open bool)
 	// Life is called when a party's process starts or dies.
@@ -39,6 +39,7 @@
 	incarnation uint64
 	conns       map[link.ConnID]bool
 	still       bool
+	arrived     choice.Millis // when the frame that is being handed over reached the machine
 	cut         bool
 	cutNo       int
 	waiting     []func(now choice.Millis) // what a party that stands still has not been handed
@@ -175,8 +176,10 @@
 	case g.cut:
 		g.heldIn = append(g.heldIn, heldFrame{c, f})
 	default:
+		arrived := now
 		g.run(now, func(now choice.Millis) {
-			g.witness.Frame(now, g, c, false, f)
+			g.arrived = arrived
+			g.witness.Frame(now, arrived, g, c, false, f)
 			g.inner.Received(now, c, f)
 		})
 	}
@@ -213,7 +216,7 @@
 		return
 	}
 	g.net.Send(c, f)
-	g.witness.Frame(g.net.Now(), g, c, true, f)
+	g.witness.Frame(g.net.Now(), g.net.Now(), g, c, true, f)
 }
 
 func (g *Gate) Close(c link.ConnID) {
@@ -224,6 +227,10 @@
 	}
 }
 
+// Arrived is when the frame that is being handed over reached the machine: a process that stood still is handed
+// all at once what came by and by.
+func (g *Gate) Arrived() choice.Millis { return g.arrived }
+
 func (g *Gate) WakeAt(t choice.Millis) { g.net.WakeAt(t) }
 
 func (g *Gate) Now() choice.Millis { return g.net.Now() }
--- a/internal/lab/hunt.go
+++ b/internal/lab/hunt.go
@@ -131,7 +131,8 @@
 	rate := d.load * float64(24*d.small+48*d.large) / 17 // cores that a workload of the quiet day takes, times its seconds
 	fmt.Fprintf(&b, "load {\n  rate = %.2f\n}\n", rate)
 	if d.gangs {
-		fmt.Fprintf(&b, "\ngang \"parts\" {\n  group  = \"serve\"\n  rate   = %.3f\n  parts  = 3\n  cores  = 4\n  memory = 6\n}\n", rate/40)
+		fmt.Fprintf(&b, "\ngang \"parts\" {\n  group  = \"serve\"\n  rate   = %.3f\n  parts  = 3\n  cores  = 4\n  memory = 6\n"+
+			"  life   = \"30s\"\n}\n", rate/60) // parts that outlive a lease, or a forgotten one ends unseen
 	}
 	for i, f := range d.faults {
 		fmt.Fprintf(&b, "\nfault \"%d\" {\n  kind  = %q\n  at    = %s\n  for   = %s\n  part  = %.3f\n", i+1, f.Kind, ms(f.At), ms(f.For), f.Part)
--- a/internal/lab/lab_test.go
+++ b/internal/lab/lab_test.go
@@ -227,6 +227,47 @@
 	}
 }
 
+// A hunt over a bounded number of days finds each engine that breaks a rule, and makes the day smaller; the script
+// that it writes breaks the same rule when it is played.
+func TestAHuntFindsEachDeliberateBreakAndShrinksIt(t *testing.T) {
+	for how, rule := range Sabotages {
+		t.Run(string(how), func(t *testing.T) {
+			t.Parallel()
+			h := Hunt{Seed: 1, Days: 40, Allocators: 6, Nodes: 12, Sabotage: how}
+			if how == ColdBlind || how == RejectsMaybe || how == LeavesParts {
+				h.Days = 400 // these need more than chance gives every day
+			}
+			r, err := h.Run(context.Background(), nil)
+			require.NoError(t, err)
+			at := slices.IndexFunc(r.Finds, func(f Find) bool { return f.Rule == rule })
+			require.GreaterOrEqual(t, at, 0, "rule %d in %d days", rule, r.Days)
+			s, err := DecodeScript("found.hcl", []byte(r.Finds[at].Script))
+			require.NoError(t, err)
+			again := play(t, s, Options{Seed: r.Finds[at].Seed, Sabotage: how})
+			assert.True(t, slices.ContainsFunc(again.Broken, func(b Broken) bool { return b.Rule == rule }))
+		})
+	}
+}
+
+// What a hunt draws depends on its seed alone, and an honest engine breaks nothing.
+func TestAHuntOfTheSameDaysFindsTheSame(t *testing.T) {
+	run := func(seed uint64) *HuntReport {
+		h := Hunt{Seed: seed, Days: 150, Allocators: 8, Nodes: 16, Worst: 2}
+		r, err := h.Run(context.Background(), nil)
+		require.NoError(t, err)
+		r.Seconds = 0
+		return r
+	}
+	first := run(7)
+	assert.Equal(t, first, run(7))
+	for _, f := range first.Finds {
+		assert.Zero(t, f.Rule, f.What)
+	}
+	assert.NotEqual(t, first.Faults, run(8).Faults)
+	assert.LessOrEqual(t, first.Nearest.Cold, 1.0)
+	assert.LessOrEqual(t, first.Nearest.Drain, 1.0)
+}
+
 // nodeWire is the net of one node under test.
 type nodeWire struct {
 	now  choice.Millis
--- a/internal/lab/node.go
+++ b/internal/lab/node.go
@@ -253,7 +253,11 @@
 		return
 	}
 	if pace, cold := n.cold(now); cold {
-		n.arrivals = append(n.arrivals, now)
+		arrived := now
+		if g, ok := n.net.(interface{ Arrived() choice.Millis }); ok {
+			arrived = g.Arrived()
+		}
+		n.arrivals = append(n.arrivals, arrived)
 		n.arrivals = slices.DeleteFunc(n.arrivals, func(at choice.Millis) bool { return at < now-n.model.OverloadFor })
 		if float64(len(n.arrivals)) > n.model.bears(pace) {
 			n.fallen = true
--- a/internal/lab/play.go
+++ b/internal/lab/play.go
@@ -122,8 +122,8 @@
 	r.mu.Unlock()
 }
 
-func (r *recorder) Frame(now choice.Millis, g *Gate, c link.ConnID, out bool, f *pb.Frame) {
-	r.add(now, func(w Witness) { w.Frame(now, g, c, out, f) })
+func (r *recorder) Frame(now, arrived choice.Millis, g *Gate, c link.ConnID, out bool, f *pb.Frame) {
+	r.add(now, func(w Witness) { w.Frame(now, arrived, g, c, out, f) })
 }
 
 func (r *recorder) Conn(now choice.Millis, g *Gate, c link.ConnID, open bool) {
--- a/internal/lab/sabotage.go
+++ b/internal/lab/sabotage.go
@@ -144,7 +144,7 @@
 			second := &pb.Offer{Bind: &pb.BindID{
 				Allocator: b.Offer.Bind.Allocator, Incarnation: b.Offer.Bind.Incarnation,
 				Workload: b.Offer.Bind.Workload, Number: b.Offer.Bind.Number + 1,
-			}, Owner: b.Offer.Owner, Ask: b.Offer.Ask, AcceptWithinMs: b.Offer.AcceptWithinMs}
+			}, Owner: b.Offer.Owner, Ask: b.Offer.Ask, AcceptWithinMs: b.Offer.AcceptWithinMs, Gang: b.Offer.Gang}
 			s.net.Send(s.nodes[s.count/every%len(s.nodes)], &pb.Frame{Body: &pb.Frame_Offer{Offer: second}})
 		}
 		if s.how == OffersAfter && s.first == nil {
--- a/internal/port/list.go
+++ b/internal/port/list.go
@@ -148,8 +148,10 @@
 	}
 	n := p.nodes[i]
 	n.listed = now
-	if e.Boot < n.boot && n.ready {
-		return n // of an earlier life than the one that we are connected to
+	// News of an earlier life than one that the node itself has told of is late. Taken for new it undid a drain that
+	// had been heard since, and made a cold node warm.
+	if e.Boot < n.boot {
+		return n
 	}
 	n.starts(now, e.Boot, e.UpForMs)
 	if n.addr != e.Address && n.conn != 0 {
--- a/internal/port/port_test.go
+++ b/internal/port/port_test.go
@@ -324,6 +324,11 @@
 	r.listed(1, pb.NodeEntry_DRAINING, 1, -1)
 	assert.Equal(t, choice.Ready, r.p.nodes[0].entry.State)
 	assert.Equal(t, r.now, r.p.nodes[0].entry.Born)
+	// Nor does it when the connection is gone again: found by a hunt, where a list that was late undid a drain.
+	r.listed(1, pb.NodeEntry_DRAINING, 2, -1)
+	r.p.Closed(r.now, n, "reset")
+	r.listed(1, pb.NodeEntry_READY, 1, -1)
+	assert.Equal(t, choice.Draining, r.p.nodes[0].entry.State)
 }
 
 func TestAnOfferWaitsForItsConnectionUnlessItsTimeIsUp(t *testing.T) {
