Sort nodes for probes only when a probe is paid for, and hash only where two tie

At 300 nodes by 300 allocators the order of nodes due for a probe was worked out at every upkeep, with two hashes a comparison, and mostly no probe was paid for. What is decided is unchanged.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -498,7 +498,7 @@
 // with probes alone. It also keeps a fleet that stands still from being probed on. It could hurt an allocator
 // with few asks, which then knows most machines by the list alone; they take the mean load.
 func (a *Allocator) probe(now Millis) (ids []NodeID) {
-	if !a.mayProbe {
+	if !a.mayProbe || a.probes < 1 {
 		return nil
 	}
 	var due []*node
@@ -509,8 +509,10 @@
 		}
 	}
 	slices.SortFunc(due, func(x, y *node) int {
-		return cmp.Or(cmp.Compare(last(x), last(y)),
-			cmp.Compare(hash(a.seed, uint64(x.ID)), hash(a.seed, uint64(y.ID))))
+		if c := cmp.Compare(last(x), last(y)); c != 0 {
+			return c
+		}
+		return cmp.Compare(hash(a.seed, uint64(x.ID)), hash(a.seed, uint64(y.ID)))
 	})
 	for _, n := range due[:min(len(due), int(a.probes))] {
 		n.probedAt = now
