Check that a part of a group is stopped once, and stop one once only

An allocator that sends each stop twice now shows that it sees it, and a part whose bind timed out is no longer stopped a second time when its group is undone.

--- a/internal/lab/audit.go
+++ b/internal/lab/audit.go
@@ -51,12 +51,15 @@
 
 	Nearest Nearest // how near to the limits it came
 
-	dead    map[string]bool // allocators
-	gangs   map[askRef]*gangSeen
-	parts   map[bindKey]*partSeen // that stand on nodes
-	spent   float64               // core seconds that parts stood, and those of groups that did not stand
-	wasted  float64
-	Partial int // groups of which a part stood for too long, or was left
+	dead  map[string]bool // allocators
+	gangs map[askRef]*gangSeen
+	parts map[bindKey]*partSeen // that stand on nodes
+
+	partBinds map[bindKey]bool     // all binds of parts
+	stopped   map[bindKey]stopSeen // the last stop of each
+	spent     float64              // core seconds that parts stood, and those of groups that did not stand
+	wasted    float64
+	Partial   int // groups of which a part stood for too long, or was left
 }
 
 type askRef struct {
@@ -143,6 +146,7 @@
 		terms: t, allocs: map[string]*allocatorSeen{}, conns: map[*Gate]map[link.ConnID]*connSeen{},
 		asks: map[askRef]*askSeen{}, nodes: map[uint32]*nodeSeen{}, starts: map[uint64][]bindKey{},
 		dead: map[string]bool{}, gangs: map[askRef]*gangSeen{}, parts: map[bindKey]*partSeen{},
+		partBinds: map[bindKey]bool{}, stopped: map[bindKey]stopSeen{},
 	}
 }
 
--- a/internal/lab/auditgangs.go
+++ b/internal/lab/auditgangs.go
@@ -14,6 +14,9 @@
 // from acceptance, and a node may stand still when one ends.
 const partialMost = choice.Millis(5e3)
 
+// stopAgain is how long, in ms, a part may be without an end before its stop is repeated.
+const stopAgain = choice.Millis(1e3)
+
 // bindsMost is how many binds one part may have: each try of a group and each replacement has those of an
 // ordinary workload. It guards against retries without end.
 const bindsMost = 24
@@ -107,6 +110,7 @@
 		}
 	case *pb.Frame_Offer:
 		if g.Role == pb.Role_NODE && !seen.out && b.Offer.Gang != nil {
+			a.partBinds[keyOf(b.Offer.Bind)] = true
 			if s := a.gang(b.Offer); a.parts[keyOf(b.Offer.Bind)] == nil {
 				a.parts[keyOf(b.Offer.Bind)] = &partSeen{
 					gang: s, part: b.Offer.Gang.Part, node: uint32(g.ID), since: -1, cores: b.Offer.Ask.Cores, seen: seen,
@@ -121,6 +125,10 @@
 				a.partGone(now, keyOf(b.OfferAnswer.Bind), p, pb.Why_STOPPED)
 			}
 		}
+	case *pb.Frame_Stop:
+		if g.Role == pb.Role_ALLOCATOR && seen.out && !b.Stop.OnlyWaiting && a.partBinds[keyOf(b.Stop.Bind)] {
+			a.stops(now, c, b.Stop.Bind, seen)
+		}
 	case *pb.Frame_End:
 		if p := a.parts[keyOf(b.End.Bind)]; p != nil && g.Role == pb.Role_NODE && seen.out {
 			a.partGone(now, keyOf(b.End.Bind), p, b.End.Why)
@@ -152,6 +160,22 @@
 	}
 }
 
+// stops checks that a part is stopped once: a stop may be repeated only after a while without an end, or over
+// another connection.
+func (a *Auditor) stops(now choice.Millis, c link.ConnID, b *pb.BindID, seen frameSeen) {
+	k := keyOf(b)
+	if last, met := a.stopped[k]; met && last.c == c && now-last.seen.at < stopAgain {
+		a.breaks(6, now, 0, nil, "a part stopped twice", last.seen, seen)
+	}
+	a.stopped[k] = stopSeen{c, seen}
+}
+
+// stopSeen is the last stop of a part.
+type stopSeen struct {
+	c    link.ConnID
+	seen frameSeen
+}
+
 func (a *Auditor) partStands(now choice.Millis, p *partSeen) {
 	if p.since >= 0 {
 		return
--- a/internal/lab/lab_test.go
+++ b/internal/lab/lab_test.go
@@ -168,6 +168,7 @@
 	days := map[Sabotage]string{
 		NoAnswer: "quiet", TwoAnswers: "quiet", LateAnswer: "full", OffersAfter: "quiet", TwoBinds: "quiet",
 		RejectsMaybe: "hall-cut", DrainDeaf: "deploy", ColdBlind: "cold-herd", SpreadBlind: "full", LeavesParts: "gang-contest",
+		StopsTwice: "gang-node-failure",
 	}
 	for how, rule := range Sabotages {
 		t.Run(string(how), func(t *testing.T) {
@@ -243,7 +244,7 @@
 		t.Run(string(how), func(t *testing.T) {
 			t.Parallel()
 			h := Hunt{Seed: 1, Days: 40, Allocators: 6, Nodes: 12, Sabotage: how}
-			if how == ColdBlind || how == RejectsMaybe || how == LeavesParts {
+			if how == ColdBlind || how == RejectsMaybe || how == LeavesParts || how == StopsTwice {
 				h.Days = 400 // these need more than chance gives every day
 			}
 			r, err := h.Run(context.Background(), nil)
--- a/internal/lab/sabotage.go
+++ b/internal/lab/sabotage.go
@@ -20,13 +20,14 @@
 	DrainDeaf    Sabotage = "drain-deaf"    // rule 3: drains are not heard
 	ColdBlind    Sabotage = "cold-blind"    // rule 4: all nodes count as warm
 	SpreadBlind  Sabotage = "spread-blind"  // rule 5: no group is spread
+	StopsTwice   Sabotage = "stops-twice"   // check 6: every stop is sent twice
 	LeavesParts  Sabotage = "leaves-parts"  // check 6: parts are kept as they start, and never stopped
 )
 
 // Sabotages are all of them with the rule that each breaks.
 var Sabotages = map[Sabotage]int{
 	NoAnswer: 1, TwoAnswers: 1, LateAnswer: 1, OffersAfter: 1, TwoBinds: 2, RejectsMaybe: 2, DrainDeaf: 3,
-	ColdBlind: 4, SpreadBlind: 5, LeavesParts: 6,
+	ColdBlind: 4, SpreadBlind: 5, LeavesParts: 6, StopsTwice: 6,
 }
 
 // every is how many frames are left as they are for one that is tampered with.
@@ -135,8 +136,11 @@
 		s.answer(c, f, b.Answer)
 		return
 	case *pb.Frame_Stop:
-		if s.how == LeavesParts {
+		switch s.how {
+		case LeavesParts:
 			return
+		case StopsTwice:
+			s.net.Send(c, f)
 		}
 	case *pb.Frame_Offer:
 		s.net.Send(c, f)
--- a/internal/port/gangs.go
+++ b/internal/port/gangs.go
@@ -346,9 +346,10 @@
 		p.partEvent(id, wl, func(now choice.Millis) []gang.Act { return wl.gang.state.Failed(now, wl.part, false) })
 	default:
 		// It may run where its last bind went. Its gang is undone, so nothing of it may be left.
-		to, bind := wl.last(), p.bindID(id, wl)
+		// A run-once one was called off only as far as it was waiting; any other has been stopped already.
+		to, bind, stopped := wl.last(), p.bindID(id, wl), wl.called == len(wl.nodes) && !p.keeps(wl)
 		p.partEvent(id, wl, func(now choice.Millis) []gang.Act {
-			if n := p.node(to); n != nil && n.ready {
+			if n := p.node(to); n != nil && n.ready && !stopped {
 				p.stop(n, bind, false)
 			}
 			return wl.gang.state.Failed(now, wl.part, true)
@@ -356,6 +357,11 @@
 	}
 }
 
+// keeps tells whether a node that accepted the workload keeps it when its bind times out.
+func (p *Port) keeps(wl *workload) bool {
+	return p.gangPart(wl.ask).Effect == choice.RunOnce
+}
+
 // partRuns takes that a workload runs, if it is a part.
 func (p *Port) partRuns(id choice.WorkloadID) {
 	if wl := p.wls[id]; wl != nil && wl.gang != nil {
