--- a/internal/port/port_test.go
+++ b/internal/port/port_test.go
@@ -331,6 +331,19 @@
 	assert.Equal(t, choice.Draining, r.p.nodes[0].entry.State)
 }
 
+// The list may be the first to tell of it: found by a hunt, where an allocator that had stood still was handed the
+// list's news before the node's hello.
+func TestOffersThatWaitedDoNotReachALifeThatTheListToldOf(t *testing.T) {
+	r := newRig(t)
+	n := r.node(1, 1)
+	r.p.Closed(10, n, "reset")
+	r.wake(180)
+	r.ask(1, "serve")
+	r.listed(1, pb.NodeEntry_READY, 2, 5)
+	n = r.connect(1, 2, 5)
+	assert.Empty(t, r.offers(n))
+}
+
 func TestAnOfferWaitsForItsConnectionUnlessItsTimeIsUp(t *testing.T) {
 	r := newRig(t)
 	r.listed(1, pb.NodeEntry_READY, 1, -1)
