--- a/choice/choice.go
+++ b/choice/choice.go
@@ -343,8 +343,8 @@
 	}
 }
 
-// started notes that a bind's workload runs, and its program. Of those that a machine keeps only our share can
-// be ours: with many allocators, none is known to be there.
+// started notes that a bind's workload runs, and its program. Of those that a machine keeps only our share
+// can be ours: with many allocators, none is known to be there.
 func (a *Allocator) started(b *bind) {
 	n := b.node
 	b.running = true
