Take the time that the network held an ask up off its pending timeout

At fault: port.ask took left_ms as counted from the arrival. Owners now stamp hellos and asks by a clock of their own; what an ask took longer than the quickest frame of its connection in the last minute comes off its time. An owner that does not stamp is served as before.

--- a/internal/command/client.go
+++ b/internal/command/client.go
@@ -18,6 +18,7 @@
 type client struct {
 	conn net.Conn
 	in   *bufio.Reader
+	made time.Time
 }
 
 // dial connects and says hello.
@@ -26,8 +27,8 @@
 	if err != nil {
 		return nil, failure{fmt.Errorf("no allocator at %s: %w; start one with 'grebeglade serve', or name it with --to", addr, err)}
 	}
-	c := &client{conn: conn, in: bufio.NewReader(conn)}
-	if err := c.send(link.Hello(&pb.Hello{Role: role, Name: name, Incarnation: 1})); err != nil {
+	c := &client{conn: conn, in: bufio.NewReader(conn), made: time.Now()}
+	if err := c.send(link.Hello(&pb.Hello{Role: role, Name: name, Incarnation: 1, SentMs: c.clock()})); err != nil {
 		return nil, err
 	}
 	f, err := c.receive(talkWithin)
@@ -40,6 +41,9 @@
 	return c, nil
 }
 
+// clock is the time in ms that an owner's frames are stamped with.
+func (c *client) clock() float64 { return float64(time.Since(c.made)) / float64(time.Millisecond) }
+
 func (c *client) send(f *pb.Frame) error {
 	b, err := link.Append(nil, f)
 	if err == nil {
--- a/internal/command/gangs.go
+++ b/internal/command/gangs.go
@@ -65,6 +65,7 @@
 	}
 	defer cl.Close()
 	began := time.Now()
+	a.SentMs = cl.clock()
 	if err := cl.send(&pb.Frame{Body: &pb.Frame_GangAsk{GangAsk: a}}); err != nil {
 		return err
 	}
--- a/internal/command/operate.go
+++ b/internal/command/operate.go
@@ -60,7 +60,7 @@
 			began := time.Now()
 			ask := &pb.Ask{
 				Ask: rand.Uint64(), Key: key, Service: service, Group: group, Cores: cores, Memory: memory,
-				LeftMs: float64(pending) / 1e6, RunsForMs: float64(runsFor) / 1e6,
+				LeftMs: float64(pending) / 1e6, RunsForMs: float64(runsFor) / 1e6, SentMs: cl.clock(),
 			}
 			if err := cl.send(&pb.Frame{Body: &pb.Frame_Ask{Ask: ask}}); err != nil {
 				return err
--- a/internal/lab/gangs.go
+++ b/internal/lab/gangs.go
@@ -119,7 +119,7 @@
 	o.Tally.Asks++
 	a := &pb.GangAsk{
 		Ask: no, Need: uint32(d.Need), LeftMs: float64(d.Pending), Spread: d.Spread, Replace: d.Replace,
-		ReplaceWithinMs: float64(d.ReplaceWithin),
+		ReplaceWithinMs: float64(d.ReplaceWithin), SentMs: float64(now),
 	}
 	for i := range d.Parts {
 		a.Parts = append(a.Parts, g.part(i))
--- a/internal/lab/owner.go
+++ b/internal/lab/owner.go
@@ -156,7 +156,7 @@
 
 func (o *Owner) Opened(now choice.Millis, c link.ConnID) {
 	o.now = now
-	o.net.Send(c, link.Hello(&pb.Hello{Role: pb.Role_OWNER, Name: o.name, Incarnation: 1}))
+	o.net.Send(c, link.Hello(&pb.Hello{Role: pb.Role_OWNER, Name: o.name, Incarnation: 1, SentMs: float64(now)}))
 	o.wake()
 }
 
@@ -365,6 +365,7 @@
 	o.net.Send(c, &pb.Frame{Body: &pb.Frame_Ask{Ask: &pb.Ask{
 		Ask: no, Key: w.key, Service: w.service, Group: w.demand.Name, Cores: w.shape[0], Memory: w.shape[1],
 		LeftMs: float64(w.demand.Pending), RunsForMs: float64(w.ends - now), Again: w.tries > 1,
+		SentMs: float64(now),
 	}}})
 	o.timers.At(now+w.demand.Pending+o.model.Slack, func(now choice.Millis) { o.giveUp(now, no, w) })
 }
--- a/internal/load/load.go
+++ b/internal/load/load.go
@@ -149,6 +149,12 @@
 	}
 }
 
+// began is when this process's clock stood at 0.
+var began = time.Now()
+
+// clock is the time in ms that frames are stamped with.
+func clock() float64 { return float64(time.Since(began)) / float64(time.Millisecond) }
+
 // connect opens a connection and exchanges hellos.
 func connect(target, name string) (*owner, *bufio.Reader, error) {
 	conn, err := net.DialTimeout("tcp", target, helloWithin)
@@ -156,7 +162,7 @@
 		return nil, nil, fmt.Errorf("no allocator at %s: %w", target, err)
 	}
 	w, in := &owner{conn: conn, out: bufio.NewWriterSize(conn, 1<<16), asks: map[uint64]*asked{}}, bufio.NewReaderSize(conn, 1<<16)
-	hello, err := link.Append(nil, link.Hello(&pb.Hello{Role: pb.Role_OWNER, Name: name, Incarnation: uint64(time.Now().UnixNano())}))
+	hello, err := link.Append(nil, link.Hello(&pb.Hello{Role: pb.Role_OWNER, Name: name, Incarnation: uint64(time.Now().UnixNano()), SentMs: clock()}))
 	if err == nil {
 		_, err = conn.Write(hello)
 	}
@@ -249,6 +255,7 @@
 	b, err := link.Append(nil, &pb.Frame{Body: &pb.Frame_Ask{Ask: &pb.Ask{
 		Ask: no, Key: keyOf(w.conn, no), Service: a.Service, Group: a.Group, Cores: a.Cores, Memory: a.Memory,
 		LeftMs: float64(left) / float64(time.Millisecond), RunsForMs: float64(a.Life) / float64(time.Millisecond), Again: a.Again,
+		SentMs: clock(),
 	}}})
 	if err == nil {
 		_, err = w.out.Write(b)
--- a/internal/port/gangs.go
+++ b/internal/port/gangs.go
@@ -78,7 +78,7 @@
 // gangAsk takes a group to its module, or turns it away at once with the reason.
 func (p *Port) gangAsk(now choice.Millis, c link.ConnID, owner string, a *pb.GangAsk) {
 	p.Counts.Asks++
-	id := askID{owner, a.Ask}
+	id, late := askID{owner, a.Ask}, p.underWay(now, p.peers[c], a.SentMs)
 	if p.gangs[id] != nil || p.passed(c, a.Ask) {
 		p.Counts.Duplicates++
 		return
@@ -96,10 +96,7 @@
 		p.answer(c, a.Ask, pb.Verdict_UNSCHEDULABLE, 0, "a bind of one of its parts went out before; it may have run")
 		return
 	}
-	left := choice.Millis(a.LeftMs)
-	if now-p.stoodTo < stoodAfter {
-		left -= p.stood
-	}
+	left := choice.Millis(a.LeftMs) - late
 	g := &group{
 		id: id, ask: a, parts: make([]choice.WorkloadID, len(a.Parts)), expires: now + left, since: now, pending: true,
 	}
--- a/internal/port/port.go
+++ b/internal/port/port.go
@@ -149,6 +149,7 @@
 	owner string
 	node  *node
 	past  past // of an owner
+	ways  ways // likewise
 }
 
 // pastMost is how many asks of one owner are remembered beyond their answer: more than an owner that sends an ask
@@ -405,6 +406,7 @@
 			p.refuse(old, "another connection came in under the name "+h.Name)
 		}
 		from.role, from.owner = h.Role, h.Name
+		from.ways.late(now, h.SentMs)
 		p.owners[h.Name] = c
 		p.net.Send(c, p.hello(pb.Role_ALLOCATOR, p.standingOf(h.Name)...))
 	case h.Role == pb.Role_OPERATOR:
@@ -492,6 +494,7 @@
 // ask takes an ask to the engine, or turns it away at once with the reason.
 func (p *Port) ask(now choice.Millis, c link.ConnID, owner string, a *pb.Ask) {
 	p.Counts.Asks++
+	late := p.underWay(now, p.peers[c], a.SentMs)
 	if _, ok := p.asks[askID{owner, a.Ask}]; ok || p.passed(c, a.Ask) {
 		p.Counts.Duplicates++ // its one answer goes out, or went out, for the first
 		return
@@ -515,9 +518,7 @@
 		p.tap.Asked(now, id, owner, a.Ask, a.Key)
 	}
 	w := p.workload(id, a)
-	if now-p.stoodTo < stoodAfter {
-		w.Left -= p.stood
-	}
+	w.Left -= late
 	p.engine.Ask(now, w)
 }
 
--- a/internal/port/port_test.go
+++ b/internal/port/port_test.go
@@ -622,3 +622,26 @@
 	assert.True(t, p.asks[3*pastMost-1])
 	assert.False(t, p.asks[2*pastMost-1])
 }
+
+// Only what came later than its connection's quickest frame of the last minute lost time on the way; see delay.go.
+func TestAnAskThatWasHeldUpHasLessTimeLeft(t *testing.T) {
+	r := newRig(t)
+	n := r.node(1, 1)
+	left := func(no uint64, sent float64) float64 {
+		r.ask(no, "once", func(a *pb.Ask) { a.SentMs = sent })
+		return r.offer(n).AcceptWithinMs
+	}
+	r.wake(1000)
+	assert.InDelta(t, 6000-20, left(1, 5000), 1e-6, "the first of its connection")
+	r.wake(2000)
+	assert.InDelta(t, 6000-20-300, left(2, 5700), 1e-6, "300 ms later than the first")
+	r.wake(3000)
+	assert.InDelta(t, 6000-20, left(3, 7000), 1e-6, "as quick as the first")
+	assert.InDelta(t, 6000-20, left(4, 0), 1e-6, "its owner tells no time")
+	r.wake(4000 + waysFor)
+	assert.InDelta(t, 6000-20, left(5, 7900), 1e-6, "nothing to compare it with any more")
+	for range 2 * keepWays {
+		r.p.peers[ownerConn].ways.late(r.now, 8000)
+	}
+	assert.Len(t, r.p.peers[ownerConn].ways, keepWays)
+}
