Keep a machine's cold budget while the list lacks it for a moment

Seen: in review. Ruled out: a restart of the machine (its start was the same), binds that are still out (they keep the machine known). At fault: the condition in Upkeep. A machine with binds of the last window stays known until they no longer count. Measured: the new test failed before (a second bind within the window was allowed) and passes now.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -487,7 +487,8 @@
 		n.sends = slices.DeleteFunc(n.sends, func(at Millis) bool { return at < now-a.coldWindow })
 	}
 	a.nodes = slices.DeleteFunc(a.nodes, func(n *node) bool {
-		gone := n.State == Gone && len(n.ours) == 0
+		// A list that lacks a machine for a moment must not free its cold budget anew.
+		gone := n.State == Gone && len(n.ours) == 0 && len(n.sends) == 0
 		if gone {
 			delete(a.known, n.ID)
 		}
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -507,3 +507,22 @@
 		assert.Equal(t, NodeID(3), a.pick(0, wl).ID)
 	}
 }
+
+// Rule 4: a list that names no machine for a moment had a cold one forgotten with all that had been sent to it, and the
+// next list made its whole budget free again.
+func TestAMachineThatTheListDropsForAMomentKeepsItsColdBudget(t *testing.T) {
+	a := fleet(t, 0)
+	a.coldFor, a.coldFrom, a.coldShare, a.coldWindow, a.since = 10e3, 1, 1, 2000, -9e3
+	cold := entry(1, Ready)
+	cold.Born = -1
+	a.List(0, Whole, []Node{cold})
+	a.Place(0, Workload{Cores: 1, Memory: 1, Left: 5000}).Next(10, Result{Kind: Declined})
+	a.List(20, Whole, nil)
+	a.Upkeep(20)
+	a.List(30, Whole, []Node{cold})
+	assert.False(t, a.coldAllows(30, a.known[1]))
+	a.List(40, Whole, nil)
+	a.Upkeep(40)
+	a.Upkeep(3000)
+	assert.Empty(t, a.known, "forgotten once nothing of it counts any more")
+}
