Keep a node's word that it drains when its connection breaks

Seen: in review. The auditor forgot the word at the same moment, and so could not see it. Ruled out: the list, which is later by design and may say ready all the while; a node that starts anew, which takes again. At fault: nodeClosed in the port and Conn in the auditor. The word now counts until the node takes it back in a hello or a message, or starts anew. What waited for a node whose hello says that it drains does not leave either.

--- a/internal/lab/audit.go
+++ b/internal/lab/audit.go
@@ -229,7 +229,6 @@
 				b.closed = true
 			}
 		}
-		a.told(s, peer.node).nodeDrains = -1
 		a.buryGone(g, s, peer.node)
 	case g.Role == pb.Role_OWNER:
 		for _, w := range a.order {
@@ -269,7 +268,10 @@
 func (a *Auditor) nodeGreets(now choice.Millis, s *allocatorSeen, h *pb.Hello) {
 	t := a.told(s, h.Node)
 	t.boot = max(t.boot, h.Incarnation)
-	if h.Draining {
+	// A connection that ends takes nothing back: only the node does, here or as it starts anew.
+	if !h.Draining {
+		t.nodeDrains = -1
+	} else if t.nodeDrains < 0 {
 		t.nodeDrains = now
 	}
 	named := map[bindKey]bool{}
@@ -437,6 +439,9 @@
 		states[e.Id] = e
 		// What the list still says of an earlier life is no news to one that the node has told of its next.
 		if t := a.told(s, e.Id); e.Boot >= t.boot {
+			if e.Boot > t.boot {
+				t.nodeDrains = -1
+			}
 			t.boot = e.Boot
 		} else {
 			delete(states, e.Id)
--- a/internal/port/list.go
+++ b/internal/port/list.go
@@ -182,7 +182,7 @@
 	if n.boot == boot {
 		return
 	}
-	n.boot, n.entry.Born = boot, choice.LongAgo
+	n.boot, n.entry.Born, n.draining = boot, choice.LongAgo, false
 	if upFor >= 0 {
 		n.entry.Born = now - choice.Millis(upFor)
 	}
--- a/internal/port/nodes.go
+++ b/internal/port/nodes.go
@@ -53,10 +53,6 @@
 		p.log.Info("connection to node lost", "node", n.id, "why", why)
 		p.engine.Cut(now, n.id)
 		n.fails = 0
-		if n.draining {
-			n.draining = false
-			p.engine.List(now, choice.Changes, []choice.Node{n.entry})
-		}
 	}
 	if n.entry.State == choice.Gone {
 		p.lost(now, n)
@@ -139,9 +135,7 @@
 		n.starts(now, h.Incarnation, h.UpForMs)
 		p.engine.List(now, choice.Changes, []choice.Node{n.told()})
 	}
-	if h.Draining {
-		p.nodeDrains(now, n, true)
-	}
+	p.nodeDrains(now, n, h.Draining)
 	type ref struct {
 		id   choice.WorkloadID
 		bind int
@@ -167,7 +161,7 @@
 	for _, s := range strays {
 		p.stray(now, n, s)
 	}
-	p.flushQueued(n, true)
+	p.flushQueued(n, !n.draining)
 }
 
 // stray takes a workload that stands on a node and is not on our books: of an earlier incarnation it is
@@ -258,8 +252,9 @@
 	}
 }
 
-// nodeDrains takes a node's own word that it drains, or no longer does. It counts over the list's, which is
-// later, for as long as the connection stands.
+// nodeDrains takes a node's own word that it drains, or no longer does. It counts over the list's, which is later, until
+// the node says otherwise or starts anew. It was forgotten with its connection: an offer that then waited for the next one
+// reached a node long after it had said that it drains.
 func (p *Port) nodeDrains(now choice.Millis, n *node, draining bool) {
 	if n.draining == draining {
 		return
--- a/internal/port/port.go
+++ b/internal/port/port.go
@@ -128,7 +128,7 @@
 	conn     link.ConnID
 	dialling bool
 	ready    bool
-	draining bool // by its own word, on this connection
+	draining bool // by its own word
 	fails    int
 	queued   []queuedOffer // for when the connection stands
 	refusal  string
--- a/internal/port/port_test.go
+++ b/internal/port/port_test.go
@@ -286,9 +286,29 @@
 	drains(true)
 	r.answers(n, &pb.BindID{Allocator: "a", Incarnation: 5, Workload: 2}, false, pb.Why_NOT_HERE)
 	assert.Equal(t, map[uint64]pb.Verdict{2: pb.Verdict_REJECTED}, r.verdicts())
-	// The list's word counts again once the connection is gone; the node itself says more at its next hello.
+	// A connection that is gone takes nothing back: only the node does, at its next hello or by starting anew.
 	r.p.Closed(r.now, n, "reset")
+	assert.Equal(t, choice.Draining, r.p.nodes[0].told().State)
+	r.ask(3, "serve")
+	assert.Equal(t, map[uint64]pb.Verdict{3: pb.Verdict_REJECTED}, r.verdicts())
+	r.again(1, 1, -1)
 	assert.Equal(t, choice.Ready, r.p.nodes[0].told().State)
+	n = r.p.nodes[0].conn
+	drains(true)
+	r.listed(1, pb.NodeEntry_READY, 2, 5)
+	assert.Equal(t, choice.Ready, r.p.nodes[0].told().State)
+}
+
+// It says so in its hello, to an allocator that starts anew: what waited for the connection does not leave any more.
+func TestOffersThatWaitedDoNotReachANodeWhoseHelloSaysThatItDrains(t *testing.T) {
+	r := newRig(t)
+	r.listed(1, pb.NodeEntry_READY, 1, -1)
+	r.ask(1, "serve")
+	c := r.w.dialed[addr(1)]
+	r.p.Opened(r.now, c)
+	r.from(c, link.Hello(&pb.Hello{Role: pb.Role_NODE, Name: "n", Node: 1, Incarnation: 1, UpForMs: -1, Draining: true}))
+	assert.Empty(t, r.offers(c))
+	assert.Equal(t, map[uint64]pb.Verdict{1: pb.Verdict_REJECTED}, r.verdicts())
 }
 
 func TestListNewsOlderThanWhatWasSeenIsPassedOver(t *testing.T) {
