Tell cells apart by zone, and bound names, nodes and starts in the port

Seen: in review. Names were numbered for ever, and past 65,536 of them two cells that stood had one number. At fault: number and enter in list.go. Cells are named with their zone; names that no node bears are forgotten, and numbers given out again last; the start of a cold node is kept while the list lacks it; 32,768 nodes are kept, the others logged.

--- a/internal/port/list.go
+++ b/internal/port/list.go
@@ -1,6 +1,7 @@
 package port
 
 import (
+	"maps"
 	"slices"
 
 	"grebeglade/choice"
@@ -122,30 +123,61 @@
 	}
 	nodes := make([]choice.Node, 0, len(u.Entries))
 	var touched []*node
+	over := 0
 	for _, e := range u.Entries {
 		n := p.enter(now, e)
+		if n == nil {
+			over++
+			continue
+		}
 		nodes = append(nodes, n.told())
 		touched = append(touched, n)
 	}
+	if over > 0 {
+		p.log.Warn("the list names more nodes than are kept; the others stay unused", "kept", len(p.nodes), "passed over", over)
+	}
 	p.engine.List(now, kind, nodes)
 	for _, n := range touched {
 		p.dial(now, n)
 	}
+	before := len(p.nodes)
 	p.nodes = slices.DeleteFunc(p.nodes, func(n *node) bool {
 		if n.entry.State != choice.Gone || n.ready || n.dialling {
 			return false
 		}
 		p.lost(now, n)
+		if now-n.entry.Born < p.c.Settings.ColdFor {
+			p.starts[n.id] = start{n.boot, n.entry.Born}
+		}
 		return true
 	})
+	maps.DeleteFunc(p.starts, func(_ choice.NodeID, s start) bool { return now-s.born >= p.c.Settings.ColdFor })
+	if len(p.nodes) < before {
+		zones, cells := map[string]bool{p.c.Zone: true}, map[string]bool{}
+		for _, n := range p.nodes {
+			zones[n.zone], cells[n.cell] = true, true
+		}
+		p.zones.keep(zones)
+		p.cells.keep(cells)
+	}
 }
 
-// enter writes a list entry into the book.
+// enter writes a list entry into the book. It returns nil where the book is full.
 func (p *Port) enter(now choice.Millis, e *pb.NodeEntry) *node {
 	id := choice.NodeID(e.Id)
 	i, known := p.find(id)
+	if !known && len(p.nodes) >= mostNodes {
+		return nil
+	}
 	if !known {
-		p.nodes = slices.Insert(p.nodes, i, &node{id: id})
+		n := &node{id: id}
+		// One that the list named before, and named again: its start is the one that was worked out then, or the module
+		// would take it for another life and its cold budget for untouched.
+		if s, ok := p.starts[id]; ok && s.boot == e.Boot {
+			n.boot, n.entry.Born = s.boot, s.born
+		}
+		delete(p.starts, id)
+		p.nodes = slices.Insert(p.nodes, i, n)
 	}
 	n := p.nodes[i]
 	n.listed = now
@@ -161,7 +193,9 @@
 	if n.addr != e.Address && n.conn != 0 {
 		p.drop(n.conn, "the list names another address")
 	}
-	n.addr, n.zone, n.kind = e.Address, e.Zone, e.Kind
+	// Cells are told apart by their zone too: two halls may each have a rack 1, and a mark that one of them knows is
+	// not known in the other.
+	n.addr, n.zone, n.cell, n.kind = e.Address, e.Zone, e.Zone+"/"+e.Cell, e.Kind
 	kind := slices.Index(p.c.Kinds, e.Kind)
 	if kind < 0 && !known {
 		p.log.Warn("node is of no known kind and stays unused", "node", id, "kind", e.Kind, "known", p.c.Kinds)
@@ -170,8 +204,8 @@
 		kind = len(p.c.Kinds)
 	}
 	n.entry = choice.Node{
-		ID: id, State: stateOf(e.State), Kind: choice.KindID(kind), Zone: number(p.zones, e.Zone),
-		Cell: number(p.cells, e.Cell), Born: n.entry.Born, FreeCores: e.FreeCores, FreeMemory: e.FreeMemory,
+		ID: id, State: stateOf(e.State), Kind: choice.KindID(kind), Zone: p.zones.number(e.Zone),
+		Cell: p.cells.number(n.cell), Born: n.entry.Born, FreeCores: e.FreeCores, FreeMemory: e.FreeMemory,
 	}
 	return n
 }
@@ -198,12 +232,38 @@
 	return choice.Gone
 }
 
-// number gives each name a number of its own, in the order in which they are met.
-func number[T ~uint16](names map[string]T, name string) T {
-	n, ok := names[name]
+// numbers give each name a number of its own, in the order in which they are met. There are never more names than
+// nodes are kept, and so fewer than numbers; a number that is free again is the last to be given out, so that what still
+// remembers it for a moment has forgotten it by then.
+type numbers[T ~uint16] struct {
+	of   map[string]T
+	used map[T]bool
+	next T
+}
+
+func newNumbers[T ~uint16](first string) numbers[T] {
+	return numbers[T]{of: map[string]T{first: 0}, used: map[T]bool{0: true}, next: 1}
+}
+
+func (n *numbers[T]) number(name string) T {
+	no, ok := n.of[name]
 	if !ok {
-		n = T(len(names))
-		names[name] = n
+		for n.used[n.next] {
+			n.next++
+		}
+		no = n.next
+		n.of[name], n.used[no] = no, true
+		n.next++
+	}
+	return no
+}
+
+// keep forgets all names but these.
+func (n *numbers[T]) keep(names map[string]bool) {
+	for name, no := range n.of {
+		if !names[name] {
+			delete(n.of, name)
+			delete(n.used, no)
+		}
 	}
-	return n
 }
--- a/internal/port/port.go
+++ b/internal/port/port.go
@@ -32,6 +32,7 @@
 	redialMost    = choice.Millis(10e3)  // ms; longer would leave a node that is back unused
 	helloWithin   = choice.Millis(5e3)   // ms that a peer may be silent at first: it is no peer of ours then
 	keepQueued    = 64                   // offers that wait for one connection; more are unreachable
+	mostNodes     = 1 << 15              // nodes that are kept; under half of the numbers that zones and cells have
 	recordSize    = 1 << 14              // events of the record that are kept, unless told otherwise
 	pulse         = choice.Millis(20)    // ms between wake-ups, at most: a process that does nothing else cannot tell that it stood still
 	lateAfter     = choice.Millis(10)    // ms; a wake-up later than that means that the process stood still
@@ -122,6 +123,7 @@
 	entry    choice.Node
 	kind     string
 	zone     string
+	cell     string // with its zone in front
 	addr     string
 	boot     uint64
 	listed   choice.Millis
@@ -130,9 +132,15 @@
 	ready    bool
 	draining bool // by its own word
 	fails    int
+	dials    uint64        // how often it was dialled
 	queued   []queuedOffer // for when the connection stands
 	refusal  string
-	dials    uint64        // how often it was dialled
+}
+
+// start is a life of a node and when it began.
+type start struct {
+	boot uint64
+	born choice.Millis
 }
 
 // queuedOffer is a bind that waits for its node's connection.
@@ -217,8 +225,9 @@
 	gangs   map[askID]*group
 	lastID  choice.WorkloadID
 	groups  map[string]int
-	zones   map[string]choice.ZoneID
-	cells   map[string]choice.CellID
+	zones   numbers[choice.ZoneID]
+	cells   numbers[choice.CellID]
+	starts  map[choice.NodeID]start // of cold nodes that the list lacks
 	probes  map[uint64]choice.NodeID
 	probeNo uint64
 	draws   uint64
@@ -242,7 +251,7 @@
 		wls: map[choice.WorkloadID]*workload{}, asks: map[askID]choice.WorkloadID{},
 		keys: map[uint64]choice.WorkloadID{}, old: map[oldBind]choice.WorkloadID{},
 		gangs: map[askID]*group{}, groups: map[string]int{},
-		zones: map[string]choice.ZoneID{c.Zone: 0}, cells: map[string]choice.CellID{},
+		zones: newNumbers[choice.ZoneID](c.Zone), cells: newNumbers[choice.CellID](""), starts: map[choice.NodeID]start{},
 		probes: map[uint64]choice.NodeID{},
 	}
 	if p.log == nil {
