Remove the queue of offers that waited for a connection: it brought nothing

Such a bind is now unreachable at once, and goes elsewhere. Notes that the module passes over are no longer handed to it.

--- a/internal/port/list.go
+++ b/internal/port/list.go
@@ -186,9 +186,6 @@
 	if e.Boot < n.boot {
 		return n
 	}
-	if known && e.Boot > n.boot {
-		p.flushQueued(n, false) // it was meant for the node's earlier life, as in nodeStands
-	}
 	n.starts(now, e.Boot, e.UpForMs)
 	if n.addr != e.Address && n.conn != 0 {
 		p.drop(n.conn, "the list names another address")
--- a/internal/port/nodes.go
+++ b/internal/port/nodes.go
@@ -48,7 +48,6 @@
 	}
 	stood := n.ready
 	n.conn, n.dialling, n.ready = 0, false, false
-	p.flushQueued(n, false)
 	if stood {
 		p.record.Add(record.Event{At: now, Kind: record.NodeSeen, Node: n.id})
 		p.log.Info("connection to node lost", "node", n.id, "why", why)
@@ -132,9 +131,8 @@
 	n.ready, n.dialling, n.fails, n.refusal = true, false, 0, ""
 	p.record.Add(record.Event{At: now, Kind: record.NodeSeen, Detail: 1, Node: n.id})
 	// A node that is back says so itself, long before the list does: offers would reach it cold meanwhile that
-	// nobody counts. What waits for it was meant for the node as it was; it is placed anew.
+	// nobody counts.
 	if h.Incarnation > n.boot {
-		p.flushQueued(n, false)
 		n.starts(now, h.Incarnation, h.UpForMs)
 		p.engine.List(now, choice.Changes, []choice.Node{n.told()})
 	}
@@ -164,7 +162,6 @@
 	for _, s := range strays {
 		p.stray(now, n, s)
 	}
-	p.flushQueued(n, !n.draining)
 }
 
 // stray takes a workload that stands on a node and is not on our books: of an earlier incarnation it is
@@ -296,7 +293,7 @@
 }
 
 var noteKinds = map[pb.Note_Kind]choice.NoteKind{
-	pb.Note_RUNNING: choice.Running, pb.Note_CORES_USED: choice.CoresUsed, pb.Note_MEMORY_USED: choice.MemoryUsed,
+	pb.Note_RUNNING: choice.Running, pb.Note_CORES_USED: choice.CoresUsed,
 }
 
 // load reads a report, or returns nil where none came along, or one too old to tell anything.
--- a/internal/port/port.go
+++ b/internal/port/port.go
@@ -31,7 +31,6 @@
 	redialFirst   = choice.Millis(100)   // ms before dialling again after a first failure; doubles
 	redialMost    = choice.Millis(10e3)  // ms; longer would leave a node that is back unused
 	helloWithin   = choice.Millis(5e3)   // ms that a peer may be silent at first: it is no peer of ours then
-	keepQueued    = 64                   // offers that wait for one connection; more are unreachable
 	mostNodes     = 1 << 15              // nodes that are kept; under half of the numbers that zones and cells have
 	recordSize    = 1 << 14              // events of the record that are kept, unless told otherwise
 	pulse         = choice.Millis(20)    // ms between wake-ups, at most: a process that does nothing else cannot tell that it stood still
@@ -132,8 +131,7 @@
 	ready    bool
 	draining bool // by its own word
 	fails    int
-	dials    uint64        // how often it was dialled
-	queued   []queuedOffer // for when the connection stands
+	dials    uint64 // how often it was dialled
 	refusal  string
 }
 
@@ -143,15 +141,6 @@
 	born choice.Millis
 }
 
-// queuedOffer is a bind that waits for its node's connection.
-type queuedOffer struct {
-	id    choice.WorkloadID
-	wl    *workload
-	bind  int
-	offer *pb.Offer
-	since choice.Millis
-}
-
 // peer is who speaks on a connection.
 type peer struct {
 	role  pb.Role // unspecified until its hello
@@ -260,7 +249,6 @@
 	for i, g := range c.Groups {
 		p.groups[g] = i
 	}
-	c.Settings.Zone = 0
 	c.Settings = WithSpreads(c.Settings)
 	o := allocator.Options{TimesOut: true, Log: p.record}
 	if c.Trace != nil {
@@ -624,18 +612,15 @@
 	p.send(id, wl, bind, to, o)
 }
 
-// send lets an offer leave, now or when the connection to its node stands.
+// send lets an offer leave, if its node is connected. None waits for a connection: it would reach a node that drains or
+// starts anew meanwhile, and what waited brought nothing (docs/review-findings.md).
 func (p *Port) send(id choice.WorkloadID, wl *workload, bind int, to choice.NodeID, o *pb.Offer) {
-	n := p.node(to)
-	switch {
-	case n != nil && n.ready:
+	if n := p.node(to); n != nil && n.ready {
 		p.net.Send(n.conn, &pb.Frame{Body: &pb.Frame_Offer{Offer: o}})
-	case n != nil && n.dialling && len(n.queued) < keepQueued:
-		n.queued = append(n.queued, queuedOffer{id, wl, bind, o, p.now})
-	default:
-		p.never(wl, o.Bind)
-		p.unreachable(id, bind, to)
+		return
 	}
+	p.never(wl, o.Bind)
+	p.unreachable(id, bind, to)
 }
 
 // unreachable has the engine hear, once it is done with what it does, that a bind never left.
@@ -645,22 +630,6 @@
 	})
 }
 
-// flushQueued sends what waited for a connection, or says that it never left. What was called off, or ended,
-// while it waited must not leave any more.
-func (p *Port) flushQueued(n *node, send bool) {
-	queued := n.queued
-	n.queued = nil
-	for _, q := range queued {
-		if !send || p.wls[q.id] != q.wl || q.wl.called == len(q.wl.nodes) || len(q.wl.nodes)-1 != q.bind {
-			p.never(q.wl, q.offer.Bind)
-			p.unreachable(q.id, q.bind, n.id)
-			continue
-		}
-		q.offer.AcceptWithinMs -= float64(p.now - q.since)
-		p.net.Send(n.conn, &pb.Frame{Body: &pb.Frame_Offer{Offer: q.offer}})
-	}
-}
-
 func (w *world) Stop(
 	id choice.WorkloadID, _ int, at choice.NodeID, why allocator.Why, onlyWaiting bool,
 ) {
