Take three idle mechanisms out of the module, and the price of zones with them

Machines that run the service come first, as in the design. The setting zone_price served one of them alone and goes too, as do kinds of notes that nothing reads.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -20,7 +20,6 @@
 	capFade      = 0.5          // share of the way from full service to none that a crowded machine may go
 	memoryCap    = 0.9          // share of memory in use; leaves a tenth for growth after a start
 	tieBand      = 0.05         // share of cores; the design's: finer than the reports' noise
-	zoneBand     = 0.3          // share of cores that our own zone may be fuller where crossing has a price
 	moveWindow   = Millis(10e3) // ms; the design's start: shorter hotspots pass by themselves
 	movePause    = Millis(3e3)  // ms between moves off one machine: reports must show the last one first
 	moveReports  = 3            // reports; fewer within the window are no evidence
@@ -41,7 +40,6 @@
 	keepDeclines = 8            // refusals a machine: one a group, and some for want of room
 	barMost      = 3            // one in so many machines may be barred on symptoms; more is a shared trouble
 	timeoutFloor = Millis(1e3)  // ms; the shortest time-out of a bind: a full admission line takes as long
-	keepPrograms = 8            // programs that a machine is taken to keep after their last task
 	dearShare    = 0.5          // of the machines' number: more places are not kept for dearer groups at once
 	reserveMost  = 10           // times reserveFor that our own asks are counted over, to stand for all
 	reserveFor   = Millis(2e3)  // ms of dearer asks that room is kept for: what comes before the list shows it
@@ -89,8 +87,7 @@
 	changes  []change
 	reports  []report
 	sends    []Millis // binds of the last cold window
-	programs []ServiceID
-	misses   int // failed contacts in a row
+	misses   int      // failed contacts in a row
 	missedAt Millis
 	probedAt Millis
 	listedAt Millis
@@ -107,7 +104,6 @@
 	binds    int
 	maybe    *bind // first bind that may have run
 	declined []*node
-	lost     *node // the last machine that gave no answer or no connection
 	over     bool
 }
 
@@ -145,10 +141,8 @@
 type Allocator struct {
 	groups       []group
 	kinds        []Kind
-	zone         ZoneID
 	reserveFor   Millis  // over which our own asks stand for
 	reserveTimes float64 // so many times as many of all allocators within reserveFor
-	zonePriced   bool
 	coldFor      Millis
 	coldFrom     float64
 	coldShare    float64 // offers within coldWindow that are ours to send to a cold machine; under 1 by turns
@@ -181,8 +175,7 @@
 func New(s Settings, seed uint64) *Allocator {
 	n := max(1, s.Allocators, s.Ordinal+1)
 	a := &Allocator{
-		kinds: s.Kinds, zone: s.Zone, zonePriced: s.ZonePrice > 0,
-		coldFor: s.ColdFor, coldFrom: s.ColdFrom, coldShare: math.Floor(s.ColdBears / float64(n)),
+		kinds: s.Kinds, coldFor: s.ColdFor, coldFrom: s.ColdFrom, coldShare: math.Floor(s.ColdBears / float64(n)),
 		coldTurn: math.Floor(s.ColdBears / 2), ordinal: float64(max(0, s.Ordinal)), since: Millis(math.Inf(1)),
 		coldWindow: s.OverloadFor * budgetSpare, mustAsk: s.MustAsk,
 		watchQuiet: min(watchQuiet, s.AskWithin/2), byRunning: s.ConfirmsRunning,
@@ -225,8 +218,7 @@
 	}
 	wl := &workload{Workload: w, group: g}
 	b := a.hold(now, wl, a.node(id))
-	b.confirmed = true
-	a.started(b)
+	b.confirmed, b.running = true, true
 	a.placed[w.ID] = b
 	return Step{Kind: Resident, Next: a.after(b)}
 }
@@ -304,9 +296,7 @@
 			a.confirms = keep(a.confirms, now-b.at, keepStarts)
 			n.misses = 0
 			n.declines = slices.DeleteFunc(n.declines, func(d decline) bool { return d.group == wl.group })
-			if a.byRunning {
-				a.started(b)
-			}
+			b.running = b.running || a.byRunning
 			a.placed[wl.ID] = b
 			return Step{Kind: Resident, Next: a.after(b)}
 		case Withdrawn:
@@ -324,12 +314,11 @@
 			wl.declined = append(wl.declined, n)
 		case Unreachable:
 			n.miss(now)
-			wl.declined, wl.lost = append(wl.declined, n), n
+			wl.declined = append(wl.declined, n)
 		case NotSent:
 			wl.binds = a.maxBinds
 		default:
 			n.miss(now)
-			wl.lost = n
 			if wl.maybe == nil {
 				wl.maybe = b
 			}
@@ -360,17 +349,6 @@
 	}
 }
 
-// started notes that a bind's workload runs, and its program. Of those that a machine keeps only our share
-// can be ours: with many allocators, none is known to be there.
-func (a *Allocator) started(b *bind) {
-	n := b.node
-	b.running = true
-	n.programs = slices.DeleteFunc(n.programs, func(o ServiceID) bool { return o == b.wl.Service })
-	if most := int(keepPrograms / a.allocators); most > 0 {
-		n.programs = keep(n.programs, b.wl.Service, most)
-	}
-}
-
 // Note takes what is told of a placed workload.
 func (a *Allocator) Note(now Millis, id WorkloadID, kind NoteKind, value float64) {
 	b := a.placed[id]
@@ -379,7 +357,7 @@
 	}
 	switch kind {
 	case Running:
-		a.started(b)
+		b.running = true
 	case CoresUsed:
 		b.used = value
 		if b.wl.Cores > 0 {
@@ -441,7 +419,7 @@
 	for _, entry := range nodes {
 		n := a.node(entry.ID)
 		if entry.Born != n.Born {
-			n.reports, n.programs, n.sends, n.declines, n.misses = nil, nil, nil, nil, 0
+			n.reports, n.sends, n.declines, n.misses = nil, nil, nil, 0
 		}
 		n.Node, n.listedAt = entry, now
 		n.size = Kind{}
@@ -571,63 +549,35 @@
 	return worst
 }
 
-// pick returns the machine for wl, or nil where none is feasible: those that hold the service's program
-// first, then the least loaded, a random one where loads tie.
+// pick returns the machine for wl, or nil where none is feasible: those that run the service first, then the
+// least loaded, a random one where loads tie.
 func (a *Allocator) pick(now Millis, wl *workload) *node {
 	barred, kept := a.barred(now), a.reserve(now, wl)
 	type option struct {
 		n    *node
-		tier int
 		load float64
 	}
-	var options []option
-	best := math.MaxInt
+	var running, others []option
 	for _, n := range a.nodes {
 		if !a.feasible(now, wl, n) || slices.Contains(barred, n) || kept(n) {
 			continue
 		}
-		tier := 0
-		if !n.holds(wl.Service) {
-			tier++
+		if o := (option{n, a.load(now, wl, n)}); n.runs(wl.Service) {
+			running = append(running, o)
+		} else {
+			others = append(others, o)
 		}
-		// A hall or rack that is cut off takes its machines along: after a bind without connection or answer the
-		// next one goes elsewhere if it can. It should also cover a failing switch or cell. It could cost a
-		// crossing, or a cold start, where one machine alone was lost.
-		if wl.lost != nil && (n.Cell == wl.lost.Cell || n.Zone == wl.lost.Zone) {
-			tier += 2
-		}
-		options = append(options, option{n, tier, a.load(now, wl, n)})
-		best = min(best, tier)
 	}
-	least := math.Inf(1)
-	options = slices.DeleteFunc(options, func(o option) bool { return o.tier > best })
-	for _, o := range options {
-		least = min(least, o.load)
+	options := running
+	if len(options) == 0 {
+		options = others
 	}
-	within := func(band float64, zone bool) []option {
-		var in []option
-		for _, o := range options {
-			if o.load <= least+band && (!zone || o.n.Zone == a.zone) {
-				in = append(in, o)
-			}
-		}
-		return in
-	}
-	meet := best%2 == 1 && a.allocators > 1
-	band := tieBand
-	if meet {
-		band = math.Inf(1)
-	}
-	ties := within(band, false)
-	if a.zonePriced && !meet {
-		if near := within(zoneBand, true); len(near) > 0 {
-			ties = near
-		}
-	}
-	if len(ties) == 0 {
+	if len(options) == 0 {
 		return nil
 	}
-	if !meet {
+	if len(running) > 0 || a.allocators == 1 {
+		least := slices.MinFunc(options, func(x, y option) int { return cmp.Compare(x.load, y.load) }).load
+		ties := slices.DeleteFunc(options, func(o option) bool { return o.load > least+tieBand })
 		return ties[a.chance(len(ties))].n
 	}
 	// No machine is known to hold the program. Allocators that cannot talk to each other would start it in as
@@ -635,7 +585,7 @@
 	// Only the first two by rank count; sorting all of them cost more than everything else on a large fleet.
 	var first, second *node
 	var high, next uint64
-	for _, o := range ties {
+	for _, o := range options {
 		switch r := rank(wl.Service, o.n.ID); {
 		case first == nil || r > high:
 			first, high, second, next = o.n, r, first, high
@@ -995,10 +945,9 @@
 	return sum
 }
 
-// holds tells whether the service's program is at hand: a workload of ours runs it, or one did lately.
-func (n *node) holds(s ServiceID) bool {
-	return slices.Contains(n.programs, s) ||
-		slices.ContainsFunc(n.ours, func(b *bind) bool { return b.running && b.wl.Service == s })
+// runs tells whether a workload of ours runs the service there, so that its program is at hand.
+func (n *node) runs(s ServiceID) bool {
+	return slices.ContainsFunc(n.ours, func(b *bind) bool { return b.running && b.wl.Service == s })
 }
 
 func (n *node) miss(now Millis) { n.misses, n.missedAt = n.misses+1, now }
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -62,7 +62,7 @@
 	a.known[1].FreeCores = 4
 	a.Adopt(0, Workload{ID: 9, Service: 1, Cores: 6, Memory: 6}, 1)
 	assert.InDelta(t, 4, a.room(0, a.known[1]).Cores, 1e-9)
-	assert.True(t, a.known[1].holds(1))
+	assert.True(t, a.known[1].runs(1))
 }
 
 func TestFullFleetRejectsEarly(t *testing.T) {
@@ -385,7 +385,7 @@
 
 func TestColdStartsMeetOverAllZonesOnTheRoomierOfTwo(t *testing.T) {
 	a := fleet(t, 2)
-	a.allocators, a.zonePriced = 300, true
+	a.allocators = 300
 	for i, n := range a.nodes {
 		n.Zone, n.FreeCores = ZoneID(i), float64(4+i)
 	}
@@ -396,19 +396,6 @@
 	}
 }
 
-func TestProgramsAreRememberedByOurShareOfTheAllocators(t *testing.T) {
-	for allocators, want := range map[float64]int{1: 8, 3: 2, 9: 0} {
-		a := fleet(t, 1)
-		a.allocators = allocators
-		for s := range ServiceID(20) {
-			wl := newAsk(a, 0, 1, 1)
-			wl.Service = s
-			a.started(&bind{wl: wl, node: a.known[1]})
-		}
-		assert.Len(t, a.known[1].programs, want)
-	}
-}
-
 func TestBarredMachinesStayAPartOfTheFleet(t *testing.T) {
 	a := fleet(t, 6)
 	a.known[3].miss(0)
@@ -497,17 +484,6 @@
 	assert.NotContains(t, first, a.probe(1)[0], "unanswered ones are not asked again at once")
 }
 
-func TestNextBindAfterALostOneGoesElsewhere(t *testing.T) {
-	a := fleet(t, 3) // each in a cell of its own
-	a.known[2].Cell, a.known[3].Zone = 1, 1
-	a.known[1].Zone, a.known[2].Zone = 2, 2
-	for range 9 {
-		wl := newAsk(a, 0, 1, 1)
-		wl.lost = a.known[1]
-		assert.Equal(t, NodeID(3), a.pick(0, wl).ID)
-	}
-}
-
 // Rule 4: a list that names no machine for a moment had a cold one forgotten with all that had been sent to it, and the
 // next list made its whole budget free again.
 func TestAMachineThatTheListDropsForAMomentKeepsItsColdBudget(t *testing.T) {
--- a/choice/types.go
+++ b/choice/types.go
@@ -68,7 +68,6 @@
 type Settings struct {
 	Allocators      int
 	Ordinal         int // this allocator's number among them, from 0
-	Zone            ZoneID
 	Groups          []Group
 	Kinds           []Kind
 	ColdFor         Millis  // a machine just up is warm after this
@@ -82,7 +81,6 @@
 	RoomInList      bool   // list entries carry the room that nobody has asked for
 	MaxBinds        int
 	MayProbe        bool
-	ZonePrice       float64 // price of running outside the allocator's zone
 }
 
 // NodeState is what the list says of a machine.
@@ -187,11 +185,8 @@
 type NoteKind uint8
 
 const (
-	Running      NoteKind = iota // it runs now
-	CoresUsed                    // cores in use by it
-	MemoryUsed                   // memory in use by it
-	ServedShare                  // share of full service that it gets
-	MemoryFilled                 // share of its machine's memory in use
+	Running   NoteKind = iota // it runs now
+	CoresUsed                 // cores in use by it
 )
 
 // ListKind says what a message of the machine list holds.
--- a/config/config.go
+++ b/config/config.go
@@ -142,7 +142,6 @@
 	s.OverloadFor = rules.Time("overload_for", 2e3)
 	s.MaxBinds = rules.Count("binds", 3, 1, 100)
 	s.MayProbe = rules.Flag("probes", true)
-	s.ZonePrice = rules.Number("zone_price", 0, 0, 100)
 	s.MustAsk = rules.Word("list", "push", "push", "ask") == "ask"
 	s.AskWithin = rules.Time("ask_within", 10e3)
 	s.ConfirmsRunning = rules.Word("confirms", "accepted", "accepted", "running") == "running"
--- a/internal/command/trace.go
+++ b/internal/command/trace.go
@@ -502,7 +502,7 @@
 						return was, fmt.Errorf("the settings have %d groups and %d kinds, the trace has %d and %d; they must be as many",
 							len(conf.Groups), len(s.Kinds), len(was.Groups)*len(conf.Groups)/len(s.Groups), len(was.Kinds))
 					}
-					s.Allocators, s.Ordinal, s.Zone = was.Allocators, was.Ordinal, was.Zone
+					s.Allocators, s.Ordinal = was.Allocators, was.Ordinal
 					return s, nil
 				}
 			}
--- a/internal/drill/adapter.go
+++ b/internal/drill/adapter.go
@@ -229,9 +229,7 @@
 	req, attempt, what := f.u32(), f.u8(), f.u8()
 	f.skip(4)
 	level := f.f32()
-	notes := map[uint8]choice.NoteKind{
-		1: choice.Running, 2: choice.CoresUsed, 3: choice.MemoryUsed, 4: choice.ServedShare, 5: choice.MemoryFilled,
-	}
+	notes := map[uint8]choice.NoteKind{1: choice.Running, 2: choice.CoresUsed}
 	kind, known := notes[what]
 	if f.err == nil && known {
 		in.engine.Note(now, choice.WorkloadID(req), int(attempt), kind, level)
--- a/internal/drill/settings.go
+++ b/internal/drill/settings.go
@@ -55,14 +55,6 @@
 	return c.parse(path, v)
 }
 
-// price is a number that need not be there.
-func (c *config) price(path string) float64 {
-	if v, ok := c.pairs[path]; ok {
-		return c.parse(path, v)
-	}
-	return 0
-}
-
 func (c *config) millis(path string) choice.Millis { return choice.Millis(c.number(path) / 1e6) }
 
 func (c *config) flag(path string) bool {
@@ -122,7 +114,6 @@
 	s := choice.Settings{
 		Allocators:      int(c.number("balancers")),
 		Ordinal:         int(c.number("ordinal")),
-		Zone:            choice.ZoneID(c.number("zone")),
 		ColdFor:         c.millis("contract.cold_ns"),
 		ColdFrom:        c.number("contract.cold_from"),
 		ColdBears:       c.number("family_info.cold_bears"),
@@ -133,7 +124,6 @@
 		RoomInList:      c.flag("family_info.free_in_list"),
 		MaxBinds:        int(c.number("permissions.most_tries")),
 		MayProbe:        c.flag("permissions.probes"),
-		ZonePrice:       c.price("prices.cross_zone"),
 	}
 	if s.MustAsk {
 		s.AskWithin = c.millis("contract.ask_within_ns")
--- a/internal/replay/encode.go
+++ b/internal/replay/encode.go
@@ -11,10 +11,10 @@
 
 func encodeSettings(s choice.Settings) *tracepb.Settings {
 	e := &tracepb.Settings{
-		Allocators: int64(s.Allocators), Ordinal: int64(s.Ordinal), Zone: uint32(s.Zone), ColdFor: float64(s.ColdFor),
+		Allocators: int64(s.Allocators), Ordinal: int64(s.Ordinal), ColdFor: float64(s.ColdFor),
 		ColdFrom: s.ColdFrom, ColdBears: s.ColdBears, OverloadFor: float64(s.OverloadFor), MustAsk: s.MustAsk,
 		AskWithin: float64(s.AskWithin), ConfirmsRunning: s.ConfirmsRunning, ReportsUse: s.ReportsUse,
-		RoomInList: s.RoomInList, MaxBinds: int64(s.MaxBinds), MayProbe: s.MayProbe, ZonePrice: s.ZonePrice,
+		RoomInList: s.RoomInList, MaxBinds: int64(s.MaxBinds), MayProbe: s.MayProbe,
 	}
 	for _, k := range s.Kinds {
 		e.Kinds = append(e.Kinds, &tracepb.Size{Cores: k.Cores, Memory: k.Memory})
@@ -31,11 +31,11 @@
 
 func decodeSettings(e *tracepb.Settings) choice.Settings {
 	s := choice.Settings{
-		Allocators: int(e.GetAllocators()), Ordinal: int(e.GetOrdinal()), Zone: choice.ZoneID(e.GetZone()),
+		Allocators: int(e.GetAllocators()), Ordinal: int(e.GetOrdinal()),
 		ColdFor: choice.Millis(e.GetColdFor()), ColdFrom: e.GetColdFrom(), ColdBears: e.GetColdBears(),
 		OverloadFor: choice.Millis(e.GetOverloadFor()), MustAsk: e.GetMustAsk(), AskWithin: choice.Millis(e.GetAskWithin()),
 		ConfirmsRunning: e.GetConfirmsRunning(), ReportsUse: e.GetReportsUse(), RoomInList: e.GetRoomInList(),
-		MaxBinds: int(e.GetMaxBinds()), MayProbe: e.GetMayProbe(), ZonePrice: e.GetZonePrice(),
+		MaxBinds: int(e.GetMaxBinds()), MayProbe: e.GetMayProbe(),
 	}
 	for _, k := range e.GetKinds() {
 		s.Kinds = append(s.Kinds, choice.Kind{Cores: k.Cores, Memory: k.Memory})
