--- a/internal/command/state.go
+++ b/internal/command/state.go
@@ -79,7 +79,7 @@
 			keys, rows := []keptKey{}, [][]string{{"KEY", "GROUP", "LAST NODE", "BIND", "KNOWN UNTIL"}}
 			for _, k := range f.Kept {
 				key := keptKey{
-					k.Bound.Key, k.Bound.Group, k.Bound.Node, k.Bound.Incarnation, k.Bound.Number,
+					k.Key, k.Group, k.Node, k.Incarnation, k.Number,
 					time.UnixMilli(int64(k.UntilMs)).UTC(),
 				}
 				keys = append(keys, key)
--- a/internal/state/log.go
+++ b/internal/state/log.go
@@ -23,10 +23,10 @@
 
 // Found is what a directory held.
 type Found struct {
-	Life  *statepb.Life // the latest, nil in a new directory
-	Kept  []*statepb.Kept
-	Files []string // in the order in which they were read
-	Torn  int      // bytes that a crash cut off
+	Life  *statepb.Life    // the latest, nil in a new directory
+	Kept  []*statepb.Bound // the last bind of each key that is known
+	Files []string         // in the order in which they were read
+	Torn  int              // bytes that a crash cut off
 }
 
 // Log is a state directory that is open. It belongs to one goroutine.
@@ -38,7 +38,7 @@
 	file   File
 	size   int
 	lived  *statepb.Life
-	kept   map[uint64]*statepb.Kept
+	kept   map[uint64]*statepb.Bound
 	failed error // nothing more is written to the file
 	buf    []byte
 }
@@ -77,12 +77,12 @@
 }
 
 // look also returns what is live, and the number after the last.
-func look(d Disk) (*Found, map[uint64]*statepb.Kept, uint64, error) {
+func look(d Disk) (*Found, map[uint64]*statepb.Bound, uint64, error) {
 	logs, snapshots, _, err := files(d)
 	if err != nil {
 		return nil, nil, 0, err
 	}
-	found, kept := &Found{}, map[uint64]*statepb.Kept{}
+	found, kept := &Found{}, map[uint64]*statepb.Bound{}
 	from, next := uint64(0), uint64(1)
 	if len(snapshots) > 0 {
 		from = snapshots[len(snapshots)-1]
@@ -102,7 +102,7 @@
 		found.Life, found.Files = s.Life, append(found.Files, name)
 		for _, k := range s.Kept {
 			if k.GetBound() != nil {
-				kept[k.Bound.Key] = k
+				kept[k.Bound.Key] = k.Bound
 			}
 		}
 		next = from + 1
@@ -132,26 +132,19 @@
 	for _, k := range kept {
 		found.Kept = append(found.Kept, k)
 	}
-	slices.SortFunc(found.Kept, func(x, y *statepb.Kept) int { return cmp.Compare(x.Bound.Key, y.Bound.Key) })
+	slices.SortFunc(found.Kept, func(x, y *statepb.Bound) int { return cmp.Compare(x.Key, y.Key) })
 	return found, kept, next, nil
 }
 
 // apply takes an entry into what is live.
-func apply(kept map[uint64]*statepb.Kept, e *statepb.Entry) {
+func apply(kept map[uint64]*statepb.Bound, e *statepb.Entry) {
 	switch b := e.Body.(type) {
 	case *statepb.Entry_Bound:
-		kept[b.Bound.Key] = &statepb.Kept{Bound: b.Bound, UntilMs: b.Bound.UntilMs}
+		kept[b.Bound.Key] = b.Bound
 	case *statepb.Entry_Settled:
-		k := kept[b.Settled.Key]
-		if k == nil || k.Bound.Number != b.Settled.Number || k.Bound.Incarnation != b.Settled.Incarnation {
-			return
-		}
-		if b.Settled.UntilMs <= 0 {
+		if k := kept[b.Settled.Key]; k != nil && k.Number == b.Settled.Number && k.Incarnation == b.Settled.Incarnation {
 			delete(kept, b.Settled.Key)
-			return
 		}
-		// What was handed out is not changed, also not by a settling that comes again.
-		kept[b.Settled.Key] = &statepb.Kept{Bound: k.Bound, Settled: true, UntilMs: b.Settled.UntilMs}
 	}
 }
 
@@ -183,7 +176,7 @@
 	l.prune()
 	s := &statepb.Snapshot{Life: l.lived}
 	for _, k := range l.kept {
-		s.Kept = append(s.Kept, k)
+		s.Kept = append(s.Kept, &statepb.Kept{Bound: k})
 	}
 	slices.SortFunc(s.Kept, func(x, y *statepb.Kept) int { return cmp.Compare(x.Bound.Key, y.Bound.Key) })
 	b, err := appendRecord(header(number), s)
@@ -272,7 +265,7 @@
 // is never trusted again: all that is live, these entries too, goes to a new one. If that fails as well the entries are not
 // kept, and the error says so; the next commit tries again.
 func (l *Log) Commit(entries []*statepb.Entry, sync bool) error {
-	before := make(map[uint64]*statepb.Kept, len(entries))
+	before := make(map[uint64]*statepb.Bound, len(entries))
 	for _, e := range entries {
 		if key, ok := keyOf(e); ok {
 			if _, known := before[key]; !known {
--- a/internal/state/writer.go
+++ b/internal/state/writer.go
@@ -127,10 +127,9 @@
 // Left is what an earlier life left, as a book is opened with it.
 func Left(f *Found) []recovery.Bind {
 	left := make([]recovery.Bind, len(f.Kept))
-	for i, k := range f.Kept {
-		b := k.Bound
+	for i, b := range f.Kept {
 		left[i] = recovery.Bind{
-			Key: b.Key, Group: b.Group, Node: b.Node, Incarnation: b.Incarnation, Workload: b.Workload, Number: b.Number, Until: k.UntilMs,
+			Key: b.Key, Group: b.Group, Node: b.Node, Incarnation: b.Incarnation, Workload: b.Workload, Number: b.Number, Until: b.UntilMs,
 		}
 	}
 	return left
