--- a/internal/command/lab.go
+++ b/internal/command/lab.go
@@ -21,7 +21,7 @@
 
 func labCommand() *cobra.Command {
 	c := &cobra.Command{Use: "lab", Short: "Play days of trouble with stand-ins for nodes, list and owners"}
-	c.AddCommand(labListCommand(), labPlayCommand(), labHuntCommand(), labFleetCommand(), labLoadCommand(), labRunCommand(),
+	c.AddCommand(labListCommand(), labPlayCommand(), labCheckCommand(), labHuntCommand(), labFleetCommand(), labLoadCommand(), labRunCommand(),
 		labCompareCommand(), labReportCommand())
 	return c
 }
@@ -112,11 +112,55 @@
 	f.StringVar(&policy, "gangs", "together", "how owners ask for groups: together, or to compare independent or for-ever")
 	f.StringVar(&sabotage, "break", "", "let the allocators break a rule on purpose, to see the auditor catch it")
 	f.StringVar(&o.Trace, "trace", "", "record each allocator into a directory of its own below this one")
+	f.StringVar(&o.History, "history", "", "write all that was seen from outside into this file, for 'lab check'")
 	f.BoolVar(&verbose, "verbose", false, "show the allocators' log")
 	jsonFlag(c, &asJSON)
 	return c
 }
 
+func labCheckCommand() *cobra.Command {
+	var asJSON bool
+	c := &cobra.Command{
+		Use:   "check FILE...",
+		Short: "Judge days that were written down with 'lab play --history'",
+		Long: "Audits the rules from nothing but what a history holds: frames with their times and directions, connections, lives\n" +
+			"and deaths of processes. Exit status 0 if they held, 1 if one broke, 2 if a file is cut off, out of order or malformed.",
+		Args: cobra.MinimumNArgs(1),
+		RunE: func(c *cobra.Command, args []string) error {
+			found := map[string][]lab.Broken{}
+			broken := false
+			for _, name := range args {
+				f, err := os.Open(name)
+				if err != nil {
+					return err
+				}
+				h, err := lab.ReadHistory(name, f)
+				f.Close()
+				if err != nil {
+					return err
+				}
+				a := h.Audit()
+				found[name], broken = append([]lab.Broken{}, a.Broken...), broken || len(a.Broken) > 0
+				if !asJSON {
+					fmt.Fprintf(c.OutOrStdout(), "%s: ", name)
+					tellRules(c.OutOrStdout(), a.Frames, a.Broken, a.More)
+				}
+			}
+			if asJSON {
+				if err := printJSON(c, found); err != nil {
+					return err
+				}
+			}
+			if broken {
+				return errWrong
+			}
+			return nil
+		},
+	}
+	jsonFlag(c, &asJSON)
+	return c
+}
+
 func labLog(w io.Writer, verbose bool) *slog.Logger {
 	if !verbose {
 		return nil
@@ -185,12 +229,17 @@
 	if len(ends) > 0 {
 		fmt.Fprintf(w, "Of those placed have ended: %s.\n", strings.Join(ends, ", "))
 	}
-	if len(r.Broken) == 0 {
-		fmt.Fprintf(w, "All rules held, by the %d frames that passed.\n", r.Frames)
+	tellRules(w, r.Frames, r.Broken, r.MoreBroken)
+}
+
+// tellRules says which rules broke, and shows the frames of the first.
+func tellRules(w io.Writer, frames int, broken []lab.Broken, more int) {
+	if len(broken) == 0 {
+		fmt.Fprintf(w, "All rules held, by the %d frames that passed.\n", frames)
 		return
 	}
-	fmt.Fprintf(w, "RULES WERE BROKEN, %d times:\n", len(r.Broken)+r.MoreBroken)
-	for _, b := range r.Broken[:min(len(r.Broken), 5)] {
+	fmt.Fprintf(w, "RULES WERE BROKEN, %d times:\n", len(broken)+more)
+	for _, b := range broken[:min(len(broken), 5)] {
 		fmt.Fprintf(w, "  rule %d at %.0f ms: %s (workload %d, node %d)\n", b.Rule, b.At, b.What, b.Workload, b.Node)
 		for _, f := range b.Frames {
 			fmt.Fprintf(w, "    %s\n", f)
--- a/internal/lab/audit.go
+++ b/internal/lab/audit.go
@@ -14,6 +14,7 @@
 type Terms struct {
 	Slack      choice.Millis // beyond the pending timeout within which an answer still counts
 	DrainGrace choice.Millis
+	MaxBinds   int        // of one ask; 0 for any number
 	Model      *NodeModel // for what cold nodes bear
 	Groups     map[string]choice.Group
 }
@@ -77,6 +78,7 @@
 
 type allocatorSeen struct {
 	name  string
+	life  uint64 // its incarnation, by its own hello
 	still [][2]choice.Millis
 	told  map[uint32]*toldSeen
 	open  map[bindKey]*bindSeen // binds that have no end yet
@@ -242,6 +244,9 @@
 // Frame takes one frame at one end.
 func (a *Auditor) Frame(now, arrived choice.Millis, g *Gate, c link.ConnID, out bool, f *pb.Frame) {
 	a.Frames++
+	if h := f.GetHello(); h != nil && out && g.Role == pb.Role_ALLOCATOR {
+		a.allocator(g.Name).life = h.Incarnation
+	}
 	if h := f.GetHello(); h != nil && !out {
 		if a.conns[g] == nil {
 			a.conns[g] = map[link.ConnID]*connSeen{}
@@ -276,7 +281,13 @@
 	}
 	named := map[bindKey]bool{}
 	for _, o := range h.Standing {
-		named[keyOf(o.Offer.Bind)] = true
+		k := keyOf(o.Offer.Bind)
+		named[k] = true
+		// What an earlier life of it placed is its own now, and counts for the spread.
+		if s.open[k] == nil && o.Offer.Bind.Incarnation < s.life {
+			w := &askSeen{ref: askRef{o.Offer.Owner, o.Offer.Ask.Ask}, ask: o.Offer.Ask, alloc: s.name, excused: true}
+			s.open[k] = &bindSeen{key: k, node: h.Node, sent: now, closed: true, stands: true, wl: w}
+		}
 	}
 	for k, b := range s.open {
 		if b.node == h.Node && !named[k] {
@@ -408,6 +419,10 @@
 		}
 	case *pb.Frame_Offer:
 		a.offers(now, s, peer.node, b.Offer, seen)
+	case *pb.Frame_Stop:
+		if o := s.open[keyOf(b.Stop.Bind)]; o != nil && o.key.incarnation < s.life {
+			o.stands = false
+		}
 	case *pb.Frame_OfferAnswer:
 		if o := s.open[keyOf(b.OfferAnswer.Bind)]; o != nil {
 			o.wl.frames = append(o.wl.frames, seen)
@@ -512,6 +527,9 @@
 	case w.withdrawn:
 		a.breaks(1, now, node, w, "an offer after the owner withdrew")
 	}
+	if most := a.terms.MaxBinds; most > 0 && len(w.binds) >= most && o.Gang == nil {
+		a.breaks(2, now, node, w, fmt.Sprintf("bind %d of an ask that may have %d", len(w.binds)+1, most))
+	}
 	for _, b := range w.binds {
 		switch {
 		case b.never:
--- a/internal/lab/day.go
+++ b/internal/lab/day.go
@@ -34,6 +34,7 @@
 	Oracle   bool         // work out how much the best could have run, in virtual time
 	Stopped  func() error // asked now and then whether to give up, in virtual time
 	Until    time.Time    // when a day in virtual time is given up, zero for never
+	History  string       // file that takes all that was seen from outside; "" for none
 	Trace    string       // directory that takes a trace of each allocator, in one of its own; "" for none
 }
 
@@ -114,7 +115,9 @@
 
 // Terms are what the script's day is audited by.
 func (s *Script) Terms() Terms {
-	t := Terms{Slack: s.Owner.Slack, DrainGrace: s.Drain, Model: &s.Node, Groups: map[string]choice.Group{}}
+	t := Terms{
+		Slack: s.Owner.Slack, DrainGrace: s.Drain, MaxBinds: s.Settings.MaxBinds, Model: &s.Node, Groups: map[string]choice.Group{},
+	}
 	for i, name := range s.Groups {
 		t.Groups[name] = s.Settings.Groups[i]
 	}
@@ -246,6 +249,9 @@
 	s := d.script
 	settings := s.Settings
 	settings.Allocators, settings.Ordinal = s.Allocators, i
+	if d.opts.Sabotage == BindsMore {
+		settings.MaxBinds += 4
+	}
 	if d.opts.Sabotage == SpreadBlind {
 		settings.Groups = slices.Clone(settings.Groups)
 		for g := range settings.Groups {
--- a/internal/lab/lab_test.go
+++ b/internal/lab/lab_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"os"
+	"path/filepath"
 	"slices"
 	"strconv"
 	"strings"
@@ -173,7 +174,7 @@
 	days := map[Sabotage]string{
 		NoAnswer: "quiet", TwoAnswers: "quiet", LateAnswer: "full", OffersAfter: "quiet", TwoBinds: "quiet",
 		RejectsMaybe: "hall-cut", DrainDeaf: "deploy", ColdBlind: "cold-herd", SpreadBlind: "full", LeavesParts: "gang-contest",
-		StopsTwice: "gang-node-failure", ForgetsState: "state-death", SyncsNever: "state-death",
+		StopsTwice: "gang-node-failure", ForgetsState: "state-death", SyncsNever: "state-death", BindsMore: "throttle",
 	}
 	for how, rule := range Sabotages {
 		t.Run(string(how), func(t *testing.T) {
@@ -181,11 +182,22 @@
 			for i := range s.Owner.Gangs {
 				s.Owner.Gangs[i].Life = 60e3 // longer than a lease and the time to settle
 			}
-			r := play(t, s, Options{Seed: 1, Sabotage: how})
-			for seed := uint64(2); len(r.Broken) == 0 && seed < 20; seed++ {
-				r = play(t, s, Options{Seed: seed, Sabotage: how}) // some need chance to give them occasion
+			file := filepath.Join(t.TempDir(), "history")
+			seed := uint64(1)
+			r := play(t, s, Options{Seed: seed, Sabotage: how, History: file})
+			for len(r.Broken) == 0 && seed < 20 {
+				seed++
+				r = play(t, s, Options{Seed: seed, Sabotage: how, History: file}) // some need chance to give them occasion
 			}
 			require.NotEmpty(t, r.Broken)
+			// What was written down is judged alike, and an honest allocator passes on the same day.
+			f, err := os.Open(file)
+			require.NoError(t, err)
+			defer f.Close()
+			h, err := ReadHistory(file, f)
+			require.NoError(t, err)
+			assert.Equal(t, r.Broken, h.Audit().Broken)
+			assert.Empty(t, play(t, s, Options{Seed: seed}).Broken)
 			found := false
 			for _, b := range r.Broken {
 				found = found || b.Rule == rule
--- a/internal/lab/play.go
+++ b/internal/lab/play.go
@@ -1,16 +1,12 @@
 package lab
 
 import (
-	"cmp"
 	"context"
 	"errors"
-	"slices"
-	"sync"
 	"time"
 
 	"grebeglade/choice"
 	"grebeglade/internal/link"
-	pb "grebeglade/proto/grebeglade/v1"
 )
 
 // socketSlack is how long beyond the pending timeout owners wait on sockets, where other programs take turns
@@ -22,7 +18,12 @@
 	began := time.Now()
 	v := NewVirtual(o.Seed)
 	a := NewAuditor(s.Terms())
-	d, err := NewDay(s, o, v, a, v.Now())
+	var w Witness = a
+	seen := NewHistory(s.Terms())
+	if o.History != "" {
+		w = both{a, seen}
+	}
+	d, err := NewDay(s, o, v, w, v.Now())
 	if err != nil {
 		return nil, err
 	}
@@ -34,6 +35,10 @@
 		return nil, ErrTooLong
 	}
 	a.Finish(v.Now())
+	seen.End(v.Now())
+	if err := seen.write(o.History); err != nil {
+		return nil, err
+	}
 	if err := d.endTraces(); err != nil {
 		return nil, err
 	}
@@ -78,7 +83,7 @@
 	s.Owner.Slack = max(s.Owner.Slack, socketSlack)
 	loop := link.NewLoop(o.Log)
 	defer loop.Close()
-	seen := &recorder{}
+	seen := NewHistory(s.Terms())
 	d, err := NewDay(s, o, loop, seen, loop.Now())
 	if err != nil {
 		return nil, err
@@ -108,10 +113,11 @@
 	if err := d.endTraces(); err != nil {
 		return nil, err
 	}
-	a := NewAuditor(s.Terms())
-	seen.replay(a)
-	a.Finish(loop.Now())
-	r := d.Result(a)
+	seen.End(loop.Now())
+	r := d.Result(seen.Audit())
+	if err := seen.write(o.History); err != nil {
+		return nil, err
+	}
 	r.RanSeconds = time.Since(began).Seconds()
 	return r, nil
 }
@@ -131,46 +137,3 @@
 	}
 	return p
 }
-
-// recorder keeps what parties on their own goroutines show, to be told in order afterwards.
-type recorder struct {
-	mu     sync.Mutex
-	events []recorded
-}
-
-type recorded struct {
-	at   choice.Millis
-	tell func(w Witness)
-}
-
-func (r *recorder) add(at choice.Millis, tell func(w Witness)) {
-	r.mu.Lock()
-	r.events = append(r.events, recorded{at, tell})
-	r.mu.Unlock()
-}
-
-func (r *recorder) Frame(now, arrived choice.Millis, g *Gate, c link.ConnID, out bool, f *pb.Frame) {
-	r.add(now, func(w Witness) { w.Frame(now, arrived, g, c, out, f) })
-}
-
-func (r *recorder) Conn(now choice.Millis, g *Gate, c link.ConnID, open bool) {
-	r.add(now, func(w Witness) { w.Conn(now, g, c, open) })
-}
-
-func (r *recorder) Life(now choice.Millis, g *Gate, alive bool) {
-	r.add(now, func(w Witness) { w.Life(now, g, alive) })
-}
-
-func (r *recorder) Still(now choice.Millis, g *Gate, until choice.Millis) {
-	r.add(now, func(w Witness) { w.Still(now, g, until) })
-}
-
-// replay tells a witness all of it by time. One party's events keep their order: its clock never steps back.
-func (r *recorder) replay(w Witness) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	slices.SortStableFunc(r.events, func(x, y recorded) int { return cmp.Compare(x.at, y.at) })
-	for _, e := range r.events {
-		e.tell(w)
-	}
-}
--- a/internal/lab/sabotage.go
+++ b/internal/lab/sabotage.go
@@ -17,6 +17,7 @@
 	OffersAfter  Sabotage = "offers-after"  // rule 1: a workload is offered after its answer
 	TwoBinds     Sabotage = "two-binds"     // rule 2: some offers go to two nodes
 	RejectsMaybe Sabotage = "rejects-maybe" // rule 2: what may have run is rejected
+	BindsMore    Sabotage = "binds-more"    // rule 2: more binds are made than the settings permit
 	DrainDeaf    Sabotage = "drain-deaf"    // rule 3: drains are not heard
 	ColdBlind    Sabotage = "cold-blind"    // rule 4: all nodes count as warm
 	SpreadBlind  Sabotage = "spread-blind"  // rule 5: no group is spread
@@ -29,7 +30,7 @@
 // Sabotages are all of them with the rule that each breaks.
 var Sabotages = map[Sabotage]int{
 	NoAnswer: 1, TwoAnswers: 1, LateAnswer: 1, OffersAfter: 1, TwoBinds: 2, RejectsMaybe: 2, DrainDeaf: 3,
-	ColdBlind: 4, SpreadBlind: 5, LeavesParts: 6, StopsTwice: 6, ForgetsState: 2, SyncsNever: 2,
+	ColdBlind: 4, SpreadBlind: 5, LeavesParts: 6, StopsTwice: 6, ForgetsState: 2, SyncsNever: 2, BindsMore: 2,
 }
 
 // every is how many frames are left as they are for one that is tampered with.
@@ -53,7 +54,7 @@
 }
 
 func (s Sabotage) around(p link.Party) link.Party {
-	if s == Honest || s == SpreadBlind || s == ForgetsState || s == SyncsNever {
+	if s == Honest || s == SpreadBlind || s == ForgetsState || s == SyncsNever || s == BindsMore {
 		return p
 	}
 	return &saboteur{Party: p, how: s}
@@ -92,11 +93,15 @@
 	case *pb.Frame_Hello:
 		if b.Hello.Role == pb.Role_NODE {
 			s.nodes = append(s.nodes, c)
-			if s.how == DrainDeaf && b.Hello.Draining {
-				f = link.Hello(&pb.Hello{
+			if s.how == DrainDeaf || s.how == ColdBlind {
+				told := &pb.Hello{
 					Role: pb.Role_NODE, Name: b.Hello.Name, Node: b.Hello.Node, Incarnation: b.Hello.Incarnation,
-					Standing: b.Hello.Standing,
-				})
+					Standing: b.Hello.Standing, Draining: b.Hello.Draining && s.how != DrainDeaf, UpForMs: b.Hello.UpForMs,
+				}
+				if s.how == ColdBlind {
+					told.UpForMs = -1
+				}
+				f = link.Hello(told)
 			}
 		}
 	case *pb.Frame_Drain:
