Bound timers of long waits, groups that wait to begin, and numbers of workloads

Seen: in review. A bind's timer stayed until the pending timeout, however early the bind was answered: an owner that waits for weeks left one timer an ask. Groups that wait to be begun again were not counted by limits.workloads. What stands on a node could take the number 0 after 4,294,967,295 workloads, and then numbers that are in use. At fault: after in the engine, gangUnfit and stray in the port. Timers are set for a minute at most and then again; idle parts count; the last million numbers are kept for what stands and for groups, and after them nothing is adopted any more.

--- a/internal/allocator/engine.go
+++ b/internal/allocator/engine.go
@@ -18,6 +18,10 @@
 // nanoseconds, and a time that was rounded down must not miss its timer.
 const clockGrain = choice.Millis(1e-6)
 
+// longestTimer is for how long a timer is set at most, in ms; what is due later is set again. A timer that no longer counts
+// stays until it comes, and owners may wait for weeks: so the timers are bounded by what came within this time.
+const longestTimer = choice.Millis(60e3)
+
 // Verdict is the one final answer to an ask.
 type Verdict uint8
 
@@ -78,7 +82,8 @@
 	placed    bool
 	withdrawn bool
 	moving    bool
-	timer     uint64 // number of the timer that counts for its step, 0 for none
+	timer     uint64        // number of the timer that counts for its step, 0 for none
+	due       choice.Millis // when that step is due
 }
 
 // latest tells whether the bind of that number is the last one made, and may still be answered.
@@ -335,6 +340,10 @@
 		if h == nil || h.timer != no {
 			continue
 		}
+		if h.due > now+clockGrain {
+			e.set(now, h, h.due)
+			continue
+		}
 		h.timer = 0
 		switch h.step.Kind {
 		case choice.Wait:
@@ -361,11 +370,11 @@
 			At: now, Kind: record.Bound, Workload: h.id, Node: s.Node, Bind: int32(h.binds - 1), Group: h.group,
 		})
 		if e.timesOut {
-			h.timer = e.after(now+s.Timeout, h.id)
+			e.set(now, h, now+s.Timeout)
 		}
 		e.world.Bind(h.id, h.binds-1, s.Node, s.Timeout)
 	case choice.Wait:
-		h.timer = e.after(max(s.Until, now), h.id)
+		e.set(now, h, max(s.Until, now))
 	case choice.Rejected:
 		e.answer(now, h, Rejected)
 	case choice.Unschedulable:
@@ -406,9 +415,9 @@
 	e.timers.Add(c.Again, timer{chores: true})
 }
 
-// after sets a timer for a workload and returns its number.
-func (e *Engine) after(at choice.Millis, id choice.WorkloadID) uint64 {
-	return e.timers.Add(at, timer{id: id})
+// set sets the timer of a workload's step.
+func (e *Engine) set(now choice.Millis, h *held, due choice.Millis) {
+	h.due, h.timer = due, e.timers.Add(min(due, now+longestTimer), timer{id: h.id})
 }
 
 // ask sees to it that a wake-up comes by the time of the first timer.
--- a/internal/port/gangs.go
+++ b/internal/port/gangs.go
@@ -14,9 +14,10 @@
 )
 
 const (
-	leaseSpare  = choice.Millis(3e3)  // ms beyond a start's time that an undeclared part may stand
-	adoptSettle = choice.Millis(1500) // ms after our start that parts found on nodes wait for the others
-	mostParts   = 1000
+	leaseSpare   = choice.Millis(3e3)  // ms beyond a start's time that an undeclared part may stand
+	adoptSettle  = choice.Millis(1500) // ms after our start that parts found on nodes wait for the others
+	mostParts    = 1000
+	longestTimer = choice.Millis(60e3) // ms for which a timer of a group is set at most; what is due later is set again
 )
 
 // spreads are the places that no two parts of a gang may share, by wish. Each of the settings' groups has a
@@ -128,8 +129,8 @@
 		return fmt.Sprintf(`spread is %q; it must be "node", "cell", "zone" or nothing`, a.Spread)
 	case a.Replace && a.ReplaceWithinMs <= 0:
 		return "replace_within_ms must be above 0 where parts are to be replaced"
-	case p.c.MostHeld > 0 && len(p.wls)+len(a.Parts) > p.c.MostHeld:
-		return fmt.Sprintf("the allocator holds %d workloads and may hold %d", len(p.wls), p.c.MostHeld)
+	case p.c.MostHeld > 0 && len(p.wls)+p.idleParts()+len(a.Parts) > p.c.MostHeld:
+		return fmt.Sprintf("the allocator holds %d workloads and may hold %d", len(p.wls)+p.idleParts(), p.c.MostHeld)
 	}
 	for i, part := range a.Parts {
 		part.Ask, part.LeftMs = a.Ask, a.LeftMs
@@ -144,6 +145,18 @@
 	return ""
 }
 
+// idleParts counts the parts of groups that are not asked for now: a group that waits to be begun again holds its place.
+func (p *Port) idleParts() (n int) {
+	for _, g := range p.gangs {
+		for _, id := range g.parts {
+			if id == 0 {
+				n++
+			}
+		}
+	}
+	return n
+}
+
 func (p *Port) wish(a *pb.GangAsk, left choice.Millis) gang.Wish {
 	w := gang.Wish{Need: int(a.Need), Left: left, ReplaceWithin: choice.Millis(a.ReplaceWithinMs)}
 	if a.Replace {
@@ -215,11 +228,7 @@
 				p.net.Send(c, &pb.Frame{Body: &pb.Frame_Over{Over: &pb.Over{Ask: g.id.ask, Why: p.overWhy(g)}}})
 			}
 		case gang.Wake:
-			p.timers.At(max(now, a.At), func(now choice.Millis) {
-				if p.gangs[g.id] == g {
-					p.act(now, g, g.state.Due(now))
-				}
-			})
+			p.wakeGang(now, g, a.At)
 		case gang.Forget:
 			if g.pending {
 				g.pending = false
@@ -234,6 +243,20 @@
 	g.told = g.state.State
 }
 
+// wakeGang has a group's module called once that time has come, if the group is still there. A timer stands for a minute at
+// most, as in the engine.
+func (p *Port) wakeGang(now choice.Millis, g *group, at choice.Millis) {
+	p.timers.At(max(now, min(at, now+longestTimer)), func(now choice.Millis) {
+		switch {
+		case p.gangs[g.id] != g:
+		case now < at:
+			p.wakeGang(now, g, at)
+		default:
+			p.act(now, g, g.state.Due(now))
+		}
+	})
+}
+
 func (p *Port) try(now choice.Millis, g *group, a gang.Act) {
 	ws := make([]choice.Workload, len(a.Parts))
 	for k, i := range a.Parts {
--- a/internal/port/nodes.go
+++ b/internal/port/nodes.go
@@ -175,6 +175,10 @@
 		p.stop(n, o.Bind, false)
 		return
 	}
+	if p.lastID == math.MaxUint32 {
+		p.log.Error("no number is left for what stands on a node; restart the allocator", "node", n.id)
+		return
+	}
 	p.lastID++
 	w.ID = p.lastID
 	wl := &workload{owner: o.Owner, ask: o.Ask, nodes: []choice.NodeID{n.id}, bind: o.Bind, since: now, answer: allocator.Placed}
--- a/internal/port/port.go
+++ b/internal/port/port.go
@@ -39,6 +39,9 @@
 	noReport      = choice.Millis(100e3) // ms; a report older than this tells nothing
 )
 
+// lastAsked is the last number that an ask may get: those that are left are for what stands on nodes and for parts of groups.
+const lastAsked = choice.WorkloadID(math.MaxUint32 - 1<<20)
+
 // Config is what an allocator is told at its start.
 type Config struct {
 	Name        string // its own, kept over restarts
@@ -551,7 +554,7 @@
 		return "a workload of that key is held here already"
 	case p.c.MostHeld > 0 && len(p.wls) >= p.c.MostHeld:
 		return fmt.Sprintf("the allocator holds %d workloads, the most it may", len(p.wls))
-	case p.lastID == math.MaxUint32:
+	case p.lastID >= lastAsked:
 		return "the allocator has named all its workloads; restart it"
 	}
 	return ""
