Count retries over all layers from traffic, and bound what waits for a disk

Seen: in review. Entries that wait for a state directory's disk had no bound: a disk that hangs let them grow with every bind. At fault: Writer.Write. 65,536 may wait; the next is turned away with the reason, and its offer does not leave.

--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"runtime"
 	"slices"
 	"testing"
 
@@ -502,3 +503,63 @@
 	a.Upkeep(3000)
 	assert.Empty(t, a.known, "forgotten once nothing of it counts any more")
 }
+
+// Three days in which machines are replaced, services never return and nothing that was forgotten is asked for again: what
+// is kept levels off, and the same asks are placed as at first. The clock begins 30 years late.
+func TestWhatIsKeptLevelsOffOverDays(t *testing.T) {
+	a := fleet(t, 0)
+	a.mayProbe = true
+	const begins, machines = Millis(1e12), 12
+	type running struct {
+		at   Millis
+		next func(Millis, Result) Step
+	}
+	var out []running
+	placed, heaps := [3]int{}, [3]uint64{}
+	for second := range 3 * 24 * 3600 {
+		now, day := begins+Millis(second)*1000, second/(24*3600)
+		var list []Node
+		for i := range machines { // each is replaced every ten minutes
+			n := entry(NodeID((second+i*50)/600*machines+i+1), Ready)
+			n.Born = now - Millis((second+i*50)%600*1000)
+			list = append(list, n)
+		}
+		a.List(now, Whole, list)
+		a.Upkeep(now)
+		for len(out) > 0 && out[0].at <= now {
+			out[0].next(now, Result{Kind: Ended, Over: true})
+			out = out[1:]
+		}
+		s := a.Place(now, Workload{ID: WorkloadID(second + 1), Service: ServiceID(second), Cores: 1, Memory: 1, Left: 6000})
+		if s.Kind != Bind {
+			continue
+		}
+		l := Load{SpareCores: 9, SpareMemory: 19}
+		if s = s.Next(now+20, Result{Kind: []ResultKind{Confirmed, Declined}[second%2], Load: &l}); s.Kind == Bind {
+			s = s.Next(now+40, Result{Kind: Confirmed, Load: &l})
+		}
+		if s.Kind == Resident {
+			placed[day]++
+			a.Note(now+50, WorkloadID(second+1), CoresUsed, 0.5)
+			out = append(out, running{now + 20e3, s.Next})
+		}
+		if second%(24*3600) == 24*3600-1 {
+			var m runtime.MemStats
+			runtime.GC()
+			runtime.ReadMemStats(&m)
+			heaps[day] = m.HeapAlloc
+		}
+	}
+	assert.LessOrEqual(t, len(a.known), 2*machines)
+	assert.Len(t, a.known, len(a.nodes))
+	assert.LessOrEqual(t, len(a.placed), 21)
+	for _, n := range a.nodes {
+		assert.LessOrEqual(t, max(len(n.ours), len(n.sends), len(n.changes)), 60)
+		assert.LessOrEqual(t, max(len(n.reports), len(n.declines)), keepSamples)
+	}
+	assert.LessOrEqual(t, max(len(a.confirms), len(a.useShares), len(a.groups[0].asks)), keepAsks)
+	assert.LessOrEqual(t, a.probes, float64(2*machines))
+	assert.InDelta(t, placed[0], placed[2], float64(placed[0])/100, "as good as on the first day")
+	assert.Greater(t, placed[0], 80000)
+	assert.Less(t, heaps[2], heaps[0]+256<<10)
+}
--- a/internal/allocator/engine_test.go
+++ b/internal/allocator/engine_test.go
@@ -208,3 +208,33 @@
 	}
 	assert.Equal(t, []record.Kind{record.Asked, record.Bound, record.Outcome, record.Answered, record.Ended}, kinds)
 }
+
+// Three days with an owner that would wait for a month: each ask left a timer for that long. The clock begins late, so that
+// nothing rests on its being small: 30 years on, it still counts thousandths of a millisecond.
+func TestTimersOfOwnersThatWaitForLongDoNotPileUp(t *testing.T) {
+	e, w := begin(1)
+	const begins, month = choice.Millis(1e12), choice.Millis(30 * 24 * 3600e3)
+	most, last := 0, choice.WorkloadID(3*24*3600)
+	for id := choice.WorkloadID(1); id <= last; id++ {
+		now := begins + choice.Millis(id)*1000
+		e.Tick(now)
+		e.Ask(now, choice.Workload{ID: id, Service: 1, Cores: 1, Memory: 1, Left: month})
+		e.Confirmed(now+20, id, 0, nil)
+		e.Settled(now+900, id, 0, 1, settled(choice.Ended))
+		most = max(most, e.timers.Len())
+		w.take()
+	}
+	assert.LessOrEqual(t, most, 62, "a minute of asks, and the chores")
+	assert.Zero(t, e.Held())
+	// One that waits is timed out when its time comes, to the thousandth.
+	at := begins + choice.Millis(last)*1000 + 5000.25
+	e.Ask(at, choice.Workload{ID: last + 1, Service: 1, Group: runOnce, Cores: 1, Memory: 1, Left: 200e3})
+	for now := at; now < at+200e3-20.001; now += 500 {
+		e.Tick(now)
+	}
+	w.take()
+	e.Tick(at + 200e3 - 20.001)
+	assert.Empty(t, w.take())
+	e.Tick(at + 200e3 - 20)
+	assert.Contains(t, w.take(), fmt.Sprintf("answer %d unschedulable", last+1))
+}
--- a/internal/lab/harden_test.go
+++ b/internal/lab/harden_test.go
@@ -173,3 +173,136 @@
 		}
 	}
 }
+
+// allRetry has every layer retry at once: nodes that accept and start nothing, a hall cut off, one-way cuts, frames that are
+// late, a list that is overrun, allocators that die, owners that insist and restart.
+const allRetry = `
+like       = "quiet"
+allocators = 6
+length     = "14s"
+rules {
+  list     = "ask"
+  confirms = "running"
+}
+load {
+  rate    = 14
+  insists = true
+}
+state {
+  disk = "8ms"
+}
+gang "parts" {
+  group  = "serve"
+  rate   = 0.4
+  parts  = 3
+  cores  = 4
+  memory = 6
+  life   = "30s"
+}
+fault "never-starts" {
+  at   = "2s"
+  for  = "5s"
+  part = 0.5
+}
+fault "hall-cut" {
+  at   = "3s"
+  for  = "5s"
+  zone = "hall-b"
+}
+fault "one-way" {
+  at   = "4s"
+  for  = "2s"
+  part = 0.3
+}
+fault "list-overrun" {
+  at   = "2s"
+  for  = "8s"
+  size = 40
+}
+fault "allocator-death" {
+  at   = "6s"
+  for  = "400ms"
+  part = 0.5
+}
+fault "reconnect" {
+  at   = "8s"
+  for  = "1s"
+  size = 0.5
+}
+`
+
+// The worst product over all layers, counted from traffic: an ask has four binds here, an owner asks six times for a
+// workload, a group is begun three times. No layer multiplies what another has counted.
+func TestAllLayersThatRetryTogetherStayWithinTheirBounds(t *testing.T) {
+	const binds, tries, begun = 4, 6, 3
+	worst := map[string]int{}
+	for seed := range uint64(20) {
+		file := filepath.Join(t.TempDir(), "history")
+		s := decode(t, allRetry)
+		require.Equal(t, binds, s.Settings.MaxBinds)
+		require.Equal(t, tries, s.Owner.Tries)
+		kept(t, play(t, s, Options{Seed: seed + 1, History: file}))
+		f, err := os.Open(file)
+		require.NoError(t, err)
+		h, err := ReadHistory(file, f)
+		require.NoError(t, err)
+		f.Close()
+		type ref struct {
+			who string
+			no  uint64
+		}
+		count := map[string]map[ref]int{}
+		add := func(what, who string, no uint64) {
+			if count[what] == nil {
+				count[what] = map[ref]int{}
+			}
+			count[what][ref{who, no}]++
+		}
+		for _, s := range h.sights {
+			if a := s.frame.GetAnswer(); a != nil && s.what == gets {
+				add("answers to an ask", s.gate.Name, a.Ask)
+			}
+			if s.what != sends || s.gate.Role == pb.Role_NODE {
+				continue
+			}
+			switch b := s.frame.Body.(type) {
+			case *pb.Frame_Ask:
+				add("asks of a workload", s.gate.Name, b.Ask.Key)
+			case *pb.Frame_Offer:
+				o := b.Offer
+				add("sendings of a bind", fmt.Sprint(bindText(o.Bind)), 0)
+				if o.Gang != nil {
+					add("binds of a part", o.Owner, o.Ask.Key)
+				} else {
+					add("binds of an ask", o.Owner, o.Ask.Ask)
+					add("binds of a workload", o.Owner, o.Ask.Key)
+				}
+			case *pb.Frame_Stop:
+				add("stops of a bind", bindText(b.Stop.Bind), 0)
+			case *pb.Frame_ListCall:
+				add("list calls of an allocator", s.gate.Name, 0)
+			case *pb.Frame_Probe:
+				add("probes of an allocator", s.gate.Name, 0)
+			}
+		}
+		for what, each := range count {
+			for _, n := range each {
+				worst[what] = max(worst[what], n)
+			}
+		}
+	}
+	t.Log(worst)
+	for what, most := range map[string]int{
+		"asks of a workload": tries, "answers to an ask": 1, "sendings of a bind": 1, "binds of an ask": binds,
+		"binds of a workload": tries * binds, "binds of a part": begun * binds,
+		// One when it times out or is withdrawn, and one at each connection at which the node still names it; a part's every 2 s.
+		"stops of a bind": 8,
+		// A call every 1.5 s at first, later ones further apart, and one at each connection to the list.
+		"list calls of an allocator": 16,
+		"probes of an allocator":     9 + 14*14,
+	} {
+		assert.LessOrEqual(t, worst[what], most, what)
+		assert.NotZero(t, worst[what], "%s: nothing is shown", what)
+	}
+	assert.Greater(t, worst["binds of an ask"], 1)
+}
--- a/internal/link/timers.go
+++ b/internal/link/timers.go
@@ -23,3 +23,6 @@
 
 // Next is the time of the first timer, if there is one.
 func (t *Timers) Next() (choice.Millis, bool) { return t.queue.Next() }
+
+// Len is the number of timers that have not come.
+func (t *Timers) Len() int { return t.queue.Len() }
--- a/internal/port/bounds_test.go
+++ b/internal/port/bounds_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"fmt"
+	"math"
 	"testing"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
 	"grebeglade/choice"
+	"grebeglade/internal/link"
 	pb "grebeglade/proto/grebeglade/v1"
 )
 
@@ -131,3 +133,94 @@
 	r.update(pb.ListUpdate_WHOLE, entries[mostNodes:]...)
 	assert.Len(t, r.p.nodes, 5, "the others are gone, and there is room")
 }
+
+// Three days, a minute at a time: nodes are replaced in new cells, owners come under new names, ask with weeks to wait and
+// leave, groups begin and end, connections break. Everything that is kept levels off.
+func TestWhatThePortKeepsLevelsOffOverDays(t *testing.T) {
+	r := newRig(t, func(c *Config) { c.RecordSize = 100 })
+	most := 0
+	for minute := range uint32(3 * 24 * 60) {
+		id, owner := minute+1, link.ConnID(1e6+minute)
+		e := nodeEntry(id, "z", fmt.Sprint("cell-", minute))
+		e.Address, e.UpForMs = fmt.Sprint("at-", id), 5
+		r.update(pb.ListUpdate_WHOLE, e)
+		n := r.w.dialed[e.Address]
+		require.NotZero(t, n)
+		r.p.Opened(r.now, n)
+		r.from(n, link.Hello(&pb.Hello{Role: pb.Role_NODE, Name: "n", Node: id, Incarnation: 1, UpForMs: 5}))
+		r.wake(r.now + 25e3) // cold budgets wait for a window after our start
+		r.p.Opened(r.now, owner)
+		r.from(owner, link.Hello(&pb.Hello{Role: pb.Role_OWNER, Name: fmt.Sprint("owner-", minute), Incarnation: 1, SentMs: 1}))
+		part := func(k uint64) *pb.Ask {
+			return &pb.Ask{Key: uint64(minute)*10 + k, Service: uint64(minute), Group: "serve", Cores: 1, Memory: 1, RunsForMs: 1}
+		}
+		a := part(0)
+		a.Ask, a.LeftMs = 1, 30*24*3600e3
+		r.from(owner, &pb.Frame{Body: &pb.Frame_Ask{Ask: a}})
+		r.from(owner, &pb.Frame{Body: &pb.Frame_GangAsk{GangAsk: &pb.GangAsk{
+			Ask: 2, LeftMs: 30 * 24 * 3600e3, Parts: []*pb.Ask{part(1), part(2)},
+		}}})
+		offers := r.offers(n)
+		require.Len(t, offers, 3)
+		for _, o := range offers {
+			r.runs(n, o.Bind)
+		}
+		r.wake(r.now + 1e3)
+		for _, o := range offers {
+			r.from(n, &pb.Frame{Body: &pb.Frame_End{End: &pb.End{Bind: o.Bind, Why: pb.Why_FINISHED}}})
+		}
+		r.p.Closed(r.now, owner, "gone")
+		r.p.Closed(r.now, n, "gone")
+		r.wake(r.now + 34e3)
+		clear(r.w.sent)
+		clear(r.w.closed)
+		p := r.p
+		sizes := []int{
+			len(p.peers), len(p.owners), len(p.nodes), len(p.wls), len(p.asks), len(p.keys), len(p.old), len(p.gangs), len(p.later),
+			len(p.zones.of), len(p.zones.used), len(p.cells.of), len(p.cells.used), len(p.starts), len(p.probes), p.timers.Len(),
+			p.engine.Held(), p.Pending(),
+		}
+		for _, n := range sizes {
+			most = max(most, n)
+		}
+		require.LessOrEqual(t, most, 16, "minute %d: %v", minute, sizes)
+	}
+	assert.EqualValues(t, 2*3*24*60, r.p.Counts.Asks)
+	assert.EqualValues(t, 3*24*60, r.p.Counts.GangsStood)
+}
+
+func TestTheLastNumbersAreKeptForWhatStands(t *testing.T) {
+	r := newRig(t)
+	n := r.node(1, 1)
+	r.p.lastID = lastAsked - 1
+	r.ask(1, "serve")
+	r.offer(n)
+	r.ask(2, "serve")
+	f := r.w.take(ownerConn)
+	assert.Equal(t, "the allocator has named all its workloads; restart it", f[0].GetAnswer().GetReason())
+	standing := func(no uint64) *pb.Standing {
+		return &pb.Standing{Running: true, Offer: &pb.Offer{
+			Bind: &pb.BindID{Allocator: "a", Incarnation: 3, Workload: no}, Owner: "o",
+			Ask: &pb.Ask{Ask: 70 + no, Key: 700 + no, Service: 1, Group: "serve", Cores: 1, Memory: 1},
+		}}
+	}
+	r.p.lastID = math.MaxUint32 - 1
+	r.p.Closed(r.now, n, "reset")
+	r.again(1, 1, -1, standing(1), standing(2))
+	assert.EqualValues(t, uint32(math.MaxUint32), r.p.lastID, "the number 0 is never given out")
+	assert.Equal(t, 1, r.p.Held())
+}
+
+// A group that waits to be begun again has no workload on the books, and took no place under the limit.
+func TestGroupsThatWaitHoldTheirPlaces(t *testing.T) {
+	r := newRig(t, func(c *Config) { c.MostHeld = 3 })
+	n := r.node(1, 1)
+	r.gang(1)
+	for _, o := range r.offers(n) {
+		r.answers(n, o.Bind, false, pb.Why_TOO_MANY_WAITING)
+	}
+	require.Len(t, r.p.gangs, 1)
+	require.Equal(t, 0, r.p.Held())
+	r.gang(2)
+	assert.Equal(t, map[uint64]pb.Verdict{2: pb.Verdict_REJECTED}, r.verdicts())
+}
--- a/internal/state/log_test.go
+++ b/internal/state/log_test.go
@@ -350,6 +350,37 @@
 	}
 }
 
+// A disk that hangs: what waited for it grew with every bind.
+func TestAWriterWhoseDiskHangsTurnsEntriesAway(t *testing.T) {
+	d := NewMemory(1)
+	l, _ := open(t, d, 1<<30)
+	hangs, hung := make(chan struct{}), make(chan struct{}, 1)
+	d.Fault = func(int, string, string) error {
+		select {
+		case hung <- struct{}{}:
+		default:
+		}
+		<-hangs
+		return nil
+	}
+	w := NewWriter(l, Grouped)
+	w.Write(bound(0, 0), nil)
+	<-hung // the first is under way
+	var kept sync.WaitGroup
+	for i := range uint64(mostQueued) {
+		kept.Add(1)
+		w.Write(bound(i+1, 0), func(err error) { assert.NoError(t, err); kept.Done() })
+	}
+	var behind error
+	w.Write(bound(1<<40, 0), func(err error) { behind = err })
+	w.Write(settled(1, 0), nil)
+	assert.ErrorIs(t, behind, ErrBehind)
+	assert.Len(t, w.queue, mostQueued)
+	close(hangs)
+	kept.Wait()
+	require.NoError(t, w.Close())
+}
+
 // Whatever stands in a log, reading ends, and what is taken was written under a checksum.
 func FuzzReadLog(f *testing.F) {
 	b := header(7)
--- a/internal/state/writer.go
+++ b/internal/state/writer.go
@@ -1,6 +1,7 @@
 package state
 
 import (
+	"errors"
 	"sync"
 
 	"grebeglade/internal/recovery"
@@ -16,6 +17,12 @@
 	Unsynced             // the machine's own pace: a crash of the process loses nothing, one of the machine may
 )
 
+// mostQueued is how many entries may wait for the disk: more than a disk that works ever leaves waiting.
+const mostQueued = 1 << 16
+
+// ErrBehind is why an entry is not kept that comes while too many wait: the disk hangs, or cannot keep up.
+var ErrBehind = errors.New("the disk does not keep up: too many entries wait for it")
+
 // Writer commits to a log from a goroutine of its own, so that nobody waits for a disk who need not. Its methods may be
 // called from any goroutine.
 type Writer struct {
@@ -45,11 +52,21 @@
 }
 
 // Write has an entry written. Then, if it is not nil, is called on the writer's goroutine once the entry lasts, or with the
-// reason why it was not kept. Without it nobody waits: the entry lasts when the next does that somebody waits for.
+// reason why it was not kept. Without it nobody waits: the entry lasts when the next does that somebody waits for. While
+// too many wait, then is called at once; a settling that is passed over so only leaves its key known for longer.
 func (w *Writer) Write(e *statepb.Entry, then func(error)) {
 	w.mu.Lock()
-	w.queue = append(w.queue, waiting{e, then})
+	full := len(w.queue) >= mostQueued
+	if !full {
+		w.queue = append(w.queue, waiting{e, then})
+	}
 	w.mu.Unlock()
+	if full {
+		if then != nil {
+			then(ErrBehind)
+		}
+		return
+	}
 	select {
 	case w.signal <- struct{}{}:
 	default:
