Take a part whose lease its node ended, or that it stopped, for lost and not for finished

Ruled out: the gang's module (it was told that the two had come to their own end), the node (its lease was over by its clock). At fault: the port, which took every end without another reason for the workload's own. Stopped and lease over now count as lost: such a group is undone and begun again.

--- a/internal/port/nodes.go
+++ b/internal/port/nodes.go
@@ -103,7 +103,8 @@
 			if !p.engine.Holds(id, bind) {
 				r.Over = p.wls[id].stopped
 			}
-			p.lostNow = b.End.Why == pb.Why_LOST
+			// What its node stopped, or whose lease it ended, has not come to its own end either.
+			p.lostNow = slices.Contains([]pb.Why{pb.Why_LOST, pb.Why_STOPPED, pb.Why_LEASE_OVER}, b.End.Why)
 			p.engine.Settled(now, id, bind, n.id, r)
 			p.lostNow = false
 		}
--- a/internal/port/port_test.go
+++ b/internal/port/port_test.go
@@ -359,6 +359,20 @@
 	assert.Zero(t, r.p.Held())
 }
 
+// A part whose lease its node ended had not come to its own end: taken for one that had, its group was declared standing with
+// one part of three left. Found by a hunt (seed 72, day 537), where a node's clock was stepped ahead.
+func TestAPartWhoseLeaseIsOverHasNotFinished(t *testing.T) {
+	r := newRig(t)
+	n := r.node(1, 1)
+	r.gang(1)
+	offers := r.offers(n)
+	r.runs(n, offers[0].Bind)
+	r.from(n, &pb.Frame{Body: &pb.Frame_End{End: &pb.End{Bind: offers[0].Bind, Why: pb.Why_LEASE_OVER}}})
+	r.runs(n, offers[1].Bind)
+	assert.Empty(t, r.verdicts(), "it is undone, and begun again later")
+	assert.NotNil(t, r.w.take(n)[0].GetStop())
+}
+
 // A stop can be lost with the connection that it went over.
 func TestAStopIsRepeatedWhereTheNodeStillNamesTheWorkload(t *testing.T) {
 	r := newRig(t)
