--- a/internal/lab/harden_test.go
+++ b/internal/lab/harden_test.go
@@ -306,3 +306,27 @@
 	}
 	assert.Greater(t, worst["binds of an ask"], 1)
 }
+
+// Days on which a rule breaks and no allocator could keep it, by the numbers of docs/review-findings.md. Each is played; as
+// long as it breaks it is skipped with its number, and once it does not the mark must go.
+func TestKnownBreaksStillBreak(t *testing.T) {
+	for _, known := range []struct {
+		name string
+		seed uint64
+		rule int
+		why  string
+	}{
+		{"answer-held-up", 3783727273, 1, "finding 10: the answer leaves in time, and the network holds it up by more than the margin"},
+		{"node-clock-stepped", 2918813409, 4, "finding 11: the node itself says that it has been up for long"},
+	} {
+		t.Run(known.name, func(t *testing.T) {
+			r := play(t, open(t, filepath.Join("testdata", "known", known.name+".hcl")), Options{Seed: known.seed})
+			for _, b := range r.Broken {
+				if b.Rule == known.rule {
+					t.Skip(known.why)
+				}
+			}
+			t.Fatalf("rule %d holds now: remove the mark, and say so in docs/review-findings.md (%s)", known.rule, known.why)
+		})
+	}
+}
