--- a/internal/command/command_test.go
+++ b/internal/command/command_test.go
@@ -21,14 +21,20 @@
 func TestExitCodesTellWellWrongAndBadInput(t *testing.T) {
 	bad := filepath.Join(t.TempDir(), "bad.hcl")
 	require.NoError(t, os.WriteFile(bad, []byte("kind \"k\" {\n  cores = -1\n}\n"), 0o600))
+	good, wrong := filepath.Join(t.TempDir(), "good"), filepath.Join(t.TempDir(), "wrong")
 	for _, c := range []struct {
 		args string
 		code int
 		says string
 	}{
 		{"lab play quiet --virtual", 0, ""},
-		{"lab play quiet --virtual --break two-binds", 1, ""},
-		{"lab play quiet --virtual --break nothing", 2, `--break "nothing" is not known; known are [cold-blind`},
+		{"lab play quiet --virtual --history " + good, 0, ""},
+		{"lab play quiet --virtual --break two-binds --history " + wrong, 1, ""},
+		{"lab check " + good, 0, ""},
+		{"lab check " + good + " " + wrong, 1, ""},
+		{"lab check " + bad, 2, "bad.hcl:1: invalid character"},
+		{"lab check nowhere", 2, "no such file"},
+		{"lab play quiet --virtual --break nothing", 2, `--break "nothing" is not known; known are [binds-more`},
 		{"lab play nothing --virtual", 2, `no script is named "nothing"`},
 		{"lab play quiet --nodes -1", 2, "must not be below 0"},
 		{"lab play", 2, "accepts 1 arg(s)"},
--- a/internal/command/trace.go
+++ b/internal/command/trace.go
@@ -73,6 +73,18 @@
 	return readers, closeAll, nil
 }
 
+// onTraces is a command on the files and directories that it is given.
+func onTraces(do func(c *cobra.Command, files []*trace.Reader) error) func(*cobra.Command, []string) error {
+	return func(c *cobra.Command, args []string) error {
+		files, done, err := openTraces(c, args)
+		if err != nil {
+			return err
+		}
+		defer done()
+		return do(c, files)
+	}
+}
+
 // filesBelow are the trace files of a directory and of those in it, which hold one allocator each.
 func filesBelow(dir string) []string {
 	names, _, _ := trace.Files(dir)
@@ -121,12 +133,7 @@
 		Use:   "summary FILE|DIR...",
 		Short: "Count asks, outcomes, waits and refusals",
 		Args:  cobra.MinimumNArgs(1),
-		RunE: func(c *cobra.Command, args []string) error {
-			files, done, err := openTraces(c, args)
-			if err != nil {
-				return err
-			}
-			defer done()
+		RunE: onTraces(func(c *cobra.Command, files []*trace.Reader) error {
 			s, err := trace.Summarise(files)
 			if err != nil {
 				return failure{err}
@@ -135,7 +142,7 @@
 				return printJSON(c, s)
 			}
 			return tellSummary(c, s)
-		},
+		}),
 	}
 	jsonFlag(c, &asJSON)
 	return c
@@ -228,12 +235,7 @@
 		Use:   "cut FILE -o FILE --from TIME --to TIME",
 		Short: "Copy the records of a span of time",
 		Args:  cobra.ExactArgs(1),
-		RunE: func(c *cobra.Command, args []string) error {
-			files, done, err := openTraces(c, args)
-			if err != nil {
-				return err
-			}
-			defer done()
+		RunE: onTraces(func(c *cobra.Command, files []*trace.Reader) error {
 			if len(files) != 1 {
 				return fmt.Errorf("cut takes one file, not %d; merge them first", len(files))
 			}
@@ -250,7 +252,7 @@
 				fmt.Fprintf(c.ErrOrStderr(), "%d records\n", w.Records)
 				return err
 			})
-		},
+		}),
 	}
 	outputFlag(c, &out)
 	spanFlags(c, &from, &to)
@@ -266,14 +268,9 @@
 		Long: "Records are ordered by time; those of one allocator always by incarnation and revision. Records that stand\n" +
 			"in several files are taken once. Clocks that differ are named.",
 		Args: cobra.MinimumNArgs(1),
-		RunE: func(c *cobra.Command, args []string) error {
-			files, done, err := openTraces(c, args)
-			if err != nil {
-				return err
-			}
-			defer done()
+		RunE: onTraces(func(c *cobra.Command, files []*trace.Reader) error {
 			var report *trace.MergeReport
-			err = output(out, func(f *os.File) (err error) {
+			err := output(out, func(f *os.File) (err error) {
 				report, err = trace.Merge(files, func(h *tracepb.Header) (*trace.Writer, error) { return trace.NewWriter(f, h) })
 				return err
 			})
@@ -288,7 +285,7 @@
 				fmt.Fprintf(c.OutOrStdout(), "CLOCKS DIFFER: %s\n", s)
 			}
 			return nil
-		},
+		}),
 	}
 	outputFlag(c, &out)
 	jsonFlag(c, &asJSON)
@@ -351,12 +348,7 @@
 		Use:   "verify FILE|DIR...",
 		Short: "Read all of each file and say what is wrong with it",
 		Args:  cobra.MinimumNArgs(1),
-		RunE: func(c *cobra.Command, args []string) error {
-			files, done, err := openTraces(c, args)
-			if err != nil {
-				return err
-			}
-			defer done()
+		RunE: onTraces(func(c *cobra.Command, files []*trace.Reader) error {
 			var checks []*trace.Check
 			wrong := false
 			for _, f := range files {
@@ -379,7 +371,7 @@
 				return errWrong
 			}
 			return nil
-		},
+		}),
 	}
 	jsonFlag(c, &asJSON)
 	return c
@@ -391,18 +383,13 @@
 		Use:   "export FILE|DIR... --parquet FILE",
 		Short: "Write one row a decision, for common tools",
 		Args:  cobra.MinimumNArgs(1),
-		RunE: func(c *cobra.Command, args []string) error {
-			files, done, err := openTraces(c, args)
-			if err != nil {
-				return err
-			}
-			defer done()
+		RunE: onTraces(func(c *cobra.Command, files []*trace.Reader) error {
 			return output(out, func(f *os.File) error {
 				n, err := trace.Export(files, f)
 				fmt.Fprintf(c.ErrOrStderr(), "%d rows\n", n)
 				return err
 			})
-		},
+		}),
 	}
 	c.Flags().StringVar(&out, "parquet", "", "Parquet file to write; it must not be there yet")
 	if err := c.MarkFlagRequired("parquet"); err != nil {
@@ -420,12 +407,7 @@
 		Use:   "show FILE|DIR...",
 		Short: "Print records, one a line",
 		Args:  cobra.MinimumNArgs(1),
-		RunE: func(c *cobra.Command, args []string) error {
-			files, done, err := openTraces(c, args)
-			if err != nil {
-				return err
-			}
-			defer done()
+		RunE: onTraces(func(c *cobra.Command, files []*trace.Reader) error {
 			s, err := parseSpan(files, from, to)
 			if err != nil {
 				return err
@@ -460,7 +442,7 @@
 				return printJSON(c, lines)
 			}
 			return nil
-		},
+		}),
 	}
 	spanFlags(c, &from, &to)
 	f := c.Flags()
@@ -484,12 +466,7 @@
 			"nodes would have answered is unknown: recorded answers are used where a workload is bound as it was, wherever\n" +
 			"that is; where the two differ the workload is left out from there on.",
 		Args: cobra.MinimumNArgs(1),
-		RunE: func(c *cobra.Command, args []string) error {
-			files, done, err := openTraces(c, args)
-			if err != nil {
-				return err
-			}
-			defer done()
+		RunE: onTraces(func(c *cobra.Command, files []*trace.Reader) error {
 			o := replay.Options{}
 			if whatIf != "" {
 				conf, err := config.Load(whatIf)
@@ -525,7 +502,7 @@
 				}
 			}
 			return nil
-		},
+		}),
 	}
 	c.Flags().StringVar(&whatIf, "what-if", "", "an allocator's settings to decide with instead")
 	jsonFlag(c, &asJSON)
@@ -558,18 +535,13 @@
 		Use:   "extract FILE|DIR... --workload ID",
 		Short: "Print the short list of calls that a decision rests on, as a test in Go",
 		Args:  cobra.MinimumNArgs(1),
-		RunE: func(c *cobra.Command, args []string) error {
-			files, done, err := openTraces(c, args)
-			if err != nil {
-				return err
-			}
-			defer done()
+		RunE: onTraces(func(c *cobra.Command, files []*trace.Reader) error {
 			x, err := replay.ExtractFiles(files, id)
 			if err != nil {
 				return failure{err}
 			}
 			return x.Print(c.OutOrStdout())
-		},
+		}),
 	}
 	c.Flags().Uint32Var(&id, "workload", 0, "whose decision")
 	if err := c.MarkFlagRequired("workload"); err != nil {
