--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/assert"
@@ -284,3 +285,27 @@
 	_, err = l.Listen(&other, "127.0.0.1:99999", DefaultLimits)
 	assert.Error(t, err)
 }
+
+// A party that has too much to do holds back whoever reads for it, and with it the peers; then it goes on.
+func TestAFullInboxHoldsItsReaderBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a := &actor{signal: make(chan struct{}, 1), stop: make(chan struct{})}
+		a.room = sync.NewCond(&a.mu)
+		a.postFrames(make([]item, inboxMost+1))
+		read := false
+		go func() {
+			a.postFrames(make([]item, 1))
+			read = true
+		}()
+		synctest.Wait()
+		assert.False(t, read)
+		assert.Len(t, a.inbox, inboxMost+1)
+		a.mu.Lock()
+		a.inbox = nil
+		a.room.Broadcast()
+		a.mu.Unlock()
+		synctest.Wait()
+		assert.True(t, read)
+		assert.Len(t, a.inbox, 1)
+	})
+}
