Count a refused or timed-out bind to a cold machine from then on, also where a yes waits

Ruled out: turns (the machine bears more than there are allocators), the wait after a start, unanswered binds (they had timed out). At fault: arrived. Where a yes means running it took no result within the window for news of the arrival; only a yes waits for the start.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -334,12 +334,13 @@
 }
 
 // arrived has a bind to a machine just up count from its answer on, or from when nobody waits for it any
-// more: it came there by then, and how long it was under way nobody knows. An answer that waits for the start
-// tells of the arrival only where it is very late. It leaves machines idle for as long as answers are slow.
+// more: it came there by then, and how long it was under way nobody knows. A yes that waits for the start
+// tells of the arrival only where it is very late; a refusal or a time-out always does. It leaves machines
+// idle for as long as answers are slow.
 func (a *Allocator) arrived(now Millis, b *bind, k ResultKind) {
 	n := b.node
 	if b.confirmed || k == Unreachable || k == NotSent || k == Withdrawn || !a.cold(now, n) ||
-		a.byRunning && now-b.at <= a.coldWindow {
+		a.byRunning && k == Confirmed && now-b.at <= a.coldWindow {
 		return
 	}
 	if at := slices.Index(n.sends, b.at); at >= 0 {
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -242,6 +242,16 @@
 		a.arrived(2900, &bind{node: n, at: 100}, kind)
 		assert.Equal(t, want, n.sends, "%v", kind)
 	}
+	// Where a yes waits for the start, it alone tells nothing of the arrival: a time-out within the window counted from
+	// when its bind was sent, and offers that a cut held up came together with later ones. Found by a hunt (seed 81, day 3835).
+	for kind, want := range map[ResultKind]Millis{Confirmed: 100, Declined: 1600, TimedOut: 1600, Unclear: 1600} {
+		a := fleet(t, 1)
+		a.coldFor, a.coldWindow, a.byRunning = 60e3, 2000, true
+		n := a.known[1]
+		n.Born, n.sends = 0, []Millis{100}
+		a.arrived(1600, &bind{node: n, at: 100}, kind)
+		assert.Equal(t, []Millis{want}, n.sends, "%v", kind)
+	}
 }
 
 // Rule 4 where allocators outnumber what a cold machine bears: no window holds more than it bears.
