--- a/internal/lab/harden_test.go
+++ b/internal/lab/harden_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"os"
 	"path/filepath"
 	"testing"
 
@@ -129,11 +128,7 @@
 	for seed := range seeds {
 		file := filepath.Join(t.TempDir(), "history")
 		play(t, decode(t, day), Options{Seed: seed + 1, History: file})
-		f, err := os.Open(file)
-		require.NoError(t, err)
-		h, err := ReadHistory(file, f)
-		require.NoError(t, err)
-		f.Close()
+		h := readBack(t, file)
 		type ref struct {
 			owner string
 			ask   uint64
@@ -243,11 +238,7 @@
 		require.Equal(t, binds, s.Settings.MaxBinds)
 		require.Equal(t, tries, s.Owner.Tries)
 		kept(t, play(t, s, Options{Seed: seed + 1, History: file}))
-		f, err := os.Open(file)
-		require.NoError(t, err)
-		h, err := ReadHistory(file, f)
-		require.NoError(t, err)
-		f.Close()
+		h := readBack(t, file)
 		type ref struct {
 			who string
 			no  uint64
--- a/internal/lab/history_test.go
+++ b/internal/lab/history_test.go
@@ -28,6 +28,17 @@
 	return h
 }
 
+// readBack reads the history of a day that was just played.
+func readBack(t *testing.T, file string) *History {
+	t.Helper()
+	f, err := os.Open(file)
+	require.NoError(t, err)
+	defer f.Close()
+	h, err := ReadHistory(file, f)
+	require.NoError(t, err)
+	return h
+}
+
 // guilty are the workloads and nodes that a plain reading of a history finds at fault for a rule, by none of the auditor's
 // code.
 func guilty(h *History, rule int) (workloads, nodes map[uint64]bool) {
--- a/internal/lab/lab_test.go
+++ b/internal/lab/lab_test.go
@@ -191,12 +191,7 @@
 			}
 			require.NotEmpty(t, r.Broken)
 			// What was written down is judged alike, and an honest allocator passes on the same day.
-			f, err := os.Open(file)
-			require.NoError(t, err)
-			defer f.Close()
-			h, err := ReadHistory(file, f)
-			require.NoError(t, err)
-			assert.Equal(t, r.Broken, h.Audit().Broken)
+			assert.Equal(t, r.Broken, readBack(t, file).Audit().Broken)
 			assert.Empty(t, play(t, s, Options{Seed: seed}).Broken)
 			found := false
 			for _, b := range r.Broken {
