State the longest timer once, and name what an owner withdrew in one place

Cause: the engine and the groups of the port each had a constant of a minute, with the same reason; stray read a connection's past in a line of its own. Change: one constant, exported by the engine; withdrew beside over and passed.

--- a/internal/allocator/engine.go
+++ b/internal/allocator/engine.go
@@ -18,9 +18,9 @@
 // nanoseconds, and a time that was rounded down must not miss its timer.
 const clockGrain = choice.Millis(1e-6)
 
-// longestTimer is for how long a timer is set at most, in ms; what is due later is set again. A timer that no longer counts
+// LongestTimer is for how long a timer is set at most, in ms; what is due later is set again. A timer that no longer counts
 // stays until it comes, and owners may wait for weeks: so the timers are bounded by what came within this time.
-const longestTimer = choice.Millis(60e3)
+const LongestTimer = choice.Millis(60e3)
 
 // Verdict is the one final answer to an ask.
 type Verdict uint8
@@ -417,7 +417,7 @@
 
 // set sets the timer of a workload's step.
 func (e *Engine) set(now choice.Millis, h *held, due choice.Millis) {
-	h.due, h.timer = due, e.timers.Add(min(due, now+longestTimer), timer{id: h.id})
+	h.due, h.timer = due, e.timers.Add(min(due, now+LongestTimer), timer{id: h.id})
 }
 
 // ask sees to it that a wake-up comes by the time of the first timer.
--- a/internal/port/gangs.go
+++ b/internal/port/gangs.go
@@ -14,10 +14,9 @@
 )
 
 const (
-	leaseSpare   = choice.Millis(3e3)  // ms beyond a start's time that an undeclared part may stand
-	adoptSettle  = choice.Millis(1500) // ms after our start that parts found on nodes wait for the others
-	mostParts    = 1000
-	longestTimer = choice.Millis(60e3) // ms for which a timer of a group is set at most; what is due later is set again
+	leaseSpare  = choice.Millis(3e3)  // ms beyond a start's time that an undeclared part may stand
+	adoptSettle = choice.Millis(1500) // ms after our start that parts found on nodes wait for the others
+	mostParts   = 1000
 )
 
 // spreads are the places that no two parts of a gang may share, by wish. Each of the settings' groups has a
@@ -246,7 +245,7 @@
 // wakeGang has a group's module called once that time has come, if the group is still there. A timer stands for a minute at
 // most, as in the engine.
 func (p *Port) wakeGang(now choice.Millis, g *group, at choice.Millis) {
-	p.timers.At(max(now, min(at, now+longestTimer)), func(now choice.Millis) {
+	p.timers.At(max(now, min(at, now+allocator.LongestTimer)), func(now choice.Millis) {
 		switch {
 		case p.gangs[g.id] != g:
 		case now < at:
--- a/internal/port/nodes.go
+++ b/internal/port/nodes.go
@@ -172,7 +172,7 @@
 	w := p.workload(0, o.Ask)
 	_, held := p.keys[o.Ask.Key]
 	// Its owner withdrew it, and the stop was lost with the connection: nobody wants it, whatever its effect.
-	if from := p.peers[p.owners[o.Owner]]; from != nil && o.Bind.Incarnation == p.c.Incarnation && from.past.asks[o.Ask.Ask] {
+	if o.Bind.Incarnation == p.c.Incarnation && p.withdrew(o.Owner, o.Ask.Ask) {
 		p.stop(n, o.Bind, false)
 		return
 	}
--- a/internal/port/port.go
+++ b/internal/port/port.go
@@ -191,6 +191,12 @@
 	}
 }
 
+// withdrew tells whether an owner has withdrawn an ask, on the connection that stands.
+func (p *Port) withdrew(owner string, ask uint64) bool {
+	from := p.peers[p.owners[owner]]
+	return from != nil && from.past.asks[ask]
+}
+
 // passed tells whether an ask is over.
 func (p *Port) passed(c link.ConnID, ask uint64) bool {
 	from := p.peers[c]
