--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -41,7 +41,7 @@
 	root.SetArgs(args)
 	root.SetOut(stdout)
 	root.SetErr(stderr)
-	root.AddCommand(serveCommand(), demoCommand(), submitCommand(), workloadsCommand(), gangsCommand(), nodesCommand(),
+	root.AddCommand(serveCommand(), platformCommand(), demoCommand(), submitCommand(), workloadsCommand(), gangsCommand(), nodesCommand(),
 		configCommand(), labCommand(), stateCommand(), traceCommand(), benchCommand())
 	err := root.ExecuteContext(ctx)
 	var failed failure
--- a/internal/drill/adapter.go
+++ b/internal/drill/adapter.go
@@ -9,6 +9,7 @@
 
 	"grebeglade/choice"
 	"grebeglade/internal/allocator"
+	"grebeglade/internal/settings"
 )
 
 // cameAgain is the bit of a task that was refused, failed, moved or lost before.
@@ -165,12 +166,12 @@
 	if f.err != nil {
 		return f.err
 	}
-	s, reports, err := parseSettings(string(text))
+	told, err := settings.FromPairs(string(text))
 	if err != nil {
 		return err
 	}
-	in := &instance{id: id, reports: reports, out: &h.out}
-	in.engine = allocator.New(s, seed, in, allocator.Options{})
+	in := &instance{id: id, reports: told.Reports, out: &h.out}
+	in.engine = allocator.New(told.Settings, seed, in, allocator.Options{})
 	h.instances[id] = in
 	in.engine.Start(now)
 	return nil
@@ -273,22 +274,10 @@
 	if n == 0 {
 		return nil
 	}
-	none := math.NaN()
-	l := &choice.Load{SpareCores: none, SpareMemory: none, Backlog: none, Utilization: none}
+	l := settings.NoLoad()
 	for i := range n {
-		v := f.f32()
-		if i >= len(in.reports) {
-			continue
-		}
-		switch in.reports[i] {
-		case "x0":
-			l.SpareCores = v
-		case "x1":
-			l.SpareMemory = v
-		case "backlog":
-			l.Backlog = v
-		case "utilization":
-			l.Utilization = v
+		if v := f.f32(); i < len(in.reports) {
+			settings.SetLoad(l, in.reports[i], v)
 		}
 	}
 	return l
--- a/internal/drill/drill_test.go
+++ b/internal/drill/drill_test.go
@@ -9,7 +9,7 @@
 	"github.com/stretchr/testify/require"
 )
 
-const settings = `balancers=1
+const told = `balancers=1
 ordinal=0
 zone=0
 contract.cold_ns=17000000000
@@ -84,7 +84,7 @@
 }
 
 func TestServeBindsANewTaskAndEndsWithItsInput(t *testing.T) {
-	out, err := serve(t, batch(attach(settings), sheet(), directory(3), newTask(6)))
+	out, err := serve(t, batch(attach(told), sheet(), directory(3), newTask(6)))
 	require.NoError(t, err)
 	assert.Contains(t, string(out), string([]byte{outBind, 0, 0, 0, 18, 0, 3, 0, 0, 0, 6, 0, 0, 0, 9}))
 }
@@ -94,7 +94,7 @@
 	dropped := rec(inDropped, uint32(6))
 	settled := rec(inSettled, uint32(6), uint8(1), uint8(0), uint32(0), uint8(0), uint64(1), uint32(9), uint8(0))
 	out, err := serve(t, append(
-		batch(attach(settings), sheet(), directory(3), rec(99, uint32(1)), landed, dropped, newTask(6)),
+		batch(attach(told), sheet(), directory(3), rec(99, uint32(1)), landed, dropped, newTask(6)),
 		batch(landed, landed, dropped, settled, settled, dropped)...))
 	require.NoError(t, err)
 	assert.Equal(t, 1, bytes.Count(out, []byte{outBind, 0, 0, 0, 18}))
@@ -103,7 +103,7 @@
 }
 
 func TestServeNamesWhatIsMalformed(t *testing.T) {
-	whole := batch(attach(settings), sheet())
+	whole := batch(attach(told), sheet())
 	long := batch(rec(inDropped, uint32(6)))
 	binary.BigEndian.PutUint32(long[17:], 1<<30)
 	overrun := sheet()
@@ -117,10 +117,10 @@
 		"oversized record":    {long, "record 0 (code 10) at byte 16: claims 1073741824 bytes"},
 		"too many records":    {batch()[:12], "cut short"},
 		"count overruns":      {batch(overrun), "record 0 (code 7) at byte 16: counts 2147483648 elements"},
-		"record too small":    {batch(attach(settings), sheet(), rec(inDirectory, uint8(0))), "record 2 (code 9)"},
-		"list never sent":     {batch(attach(settings), directory(0)), "list 0, which was never sent"},
+		"record too small":    {batch(attach(told), sheet(), rec(inDirectory, uint8(0))), "record 2 (code 9)"},
+		"list never sent":     {batch(attach(told), directory(0)), "list 0, which was never sent"},
 		"setting missing":     {batch(attach("zone=0")), "setting balancers is missing"},
-		"setting not numeric": {batch(attach("balancers=many\n" + settings[12:])), `setting balancers is "many"`},
+		"setting not numeric": {batch(attach("balancers=many\n" + told[12:])), `setting balancers is "many"`},
 	} {
 		t.Run(name, func(t *testing.T) {
 			_, err := serve(t, c.input)
--- /dev/null
+++ b/internal/link/form.go
@@ -0,0 +1,96 @@
+package link
+
+import (
+	"errors"
+	"fmt"
+	"syscall"
+
+	"grebeglade/choice"
+	pb "grebeglade/proto/grebeglade/v1"
+)
+
+// Refused is why a dialled connection has ended where nobody listens at the address.
+const Refused = "connection refused"
+
+// Form is how messages stand in the bytes of one connection. Cut is called by the event loop and Append by the
+// party, so the two must share nothing that changes.
+type Form interface {
+	// Cut reads the first message of b and says how many bytes it took, or 0 while it is not whole. Bytes may be
+	// taken without a message. After an error the connection ends.
+	Cut(b []byte) (m any, n int, err error)
+	// Append adds a message to b.
+	Append(b []byte, m any) ([]byte, error)
+}
+
+// Handler is a Party for messages of any form.
+type Handler interface {
+	Start(now choice.Millis, w Wire)
+	Opened(now choice.Millis, c ConnID)
+	Received(now choice.Millis, c ConnID, m any)
+	Closed(now choice.Millis, c ConnID, why string)
+	Wake(now choice.Millis)
+}
+
+// Wire is the Net of a Handler.
+type Wire interface {
+	// DialAs dials for messages of a form; a connection that does not stand in time has failed.
+	DialAs(addr string, f Form, within choice.Millis) ConnID
+	Send(c ConnID, m any)
+	Close(c ConnID)
+	WakeAt(t choice.Millis)
+	Now() choice.Millis
+}
+
+// frames is the form of the project's own wire.
+type frames struct{ most int }
+
+func (f frames) Cut(b []byte) (any, int, error) {
+	body, _, err := Split(b, f.most)
+	if err != nil || body == nil {
+		return nil, 0, err
+	}
+	frame, err := Decode(body)
+	if err != nil {
+		return nil, 0, err
+	}
+	return frame, headSize + len(body), nil
+}
+
+func (f frames) Append(b []byte, m any) ([]byte, error) {
+	frame, ok := m.(*pb.Frame)
+	if !ok {
+		return b, fmt.Errorf("%T is no frame", m)
+	}
+	return Append(b, frame)
+}
+
+// framed is a Party as a Handler.
+type framed struct{ Party }
+
+func (p framed) Start(now choice.Millis, w Wire) {
+	p.Party.Start(now, frameNet{w, w.(*actor).limits.Frame})
+}
+
+func (p framed) Received(now choice.Millis, c ConnID, m any) {
+	if f, ok := m.(*pb.Frame); ok {
+		p.Party.Received(now, c, f)
+	}
+}
+
+// frameNet is a Wire as a Net.
+type frameNet struct {
+	Wire
+	most int
+}
+
+func (n frameNet) Dial(addr string) ConnID { return n.DialAs(addr, frames{n.most}, dialWithin) }
+
+func (n frameNet) Send(c ConnID, f *pb.Frame) { n.Wire.Send(c, f) }
+
+// dialError is why dialling failed, in a word where nobody listens.
+func dialError(err error) string {
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		return Refused
+	}
+	return err.Error()
+}
--- a/internal/link/loop.go
+++ b/internal/link/loop.go
@@ -15,12 +15,11 @@
 
 	"grebeglade/choice"
 	"grebeglade/internal/schedule"
-	pb "grebeglade/proto/grebeglade/v1"
 )
 
 const (
-	dialWithin  = 2 * time.Second
-	inboxMost   = 1 << 16     // frames that wait for a party; beyond that nothing more is read for it
+	dialWithin  = choice.Millis(2000)
+	inboxMost   = 1 << 16     // messages that wait for a party; beyond that nothing more is read for it
 	flushWithin = time.Second // for what is on its way when a loop closes
 )
 
@@ -29,6 +28,12 @@
 	Frame       int // bytes of one frame
 	Waiting     int // bytes that wait to be written to one peer
 	Connections int // that came in, for one party
+
+	Inbox int // messages that wait for a party, about; beyond that nothing more is read for it; 0 for inboxMost
+
+	// Whole is how long a message may take from its first bytes to its last; 0 is for ever. It guards against peers that
+	// stop in the middle and stay, and could hurt one behind a very slow network.
+	Whole choice.Millis
 }
 
 // DefaultLimits are those of a party that says nothing else.
@@ -44,7 +49,7 @@
 	began  time.Time
 	log    *slog.Logger
 	mu     sync.Mutex
-	actors map[Party]*actor
+	actors map[any]*actor
 	begun  bool
 	done   sync.WaitGroup
 }
@@ -54,7 +59,7 @@
 	if log == nil {
 		log = slog.New(slog.DiscardHandler)
 	}
-	return &Loop{began: time.Now(), log: log, actors: map[Party]*actor{}}
+	return &Loop{began: time.Now(), log: log, actors: map[any]*actor{}}
 }
 
 // Now is the time on the loop's clock, which all its parties share.
@@ -63,8 +68,20 @@
 // Listen brings a party in and listens for it; port 0 has the system choose one. The party is called from
 // Run on.
 func (l *Loop) Listen(p Party, addr string, limits Limits) (string, error) {
+	return l.listen(p, framed{p}, func() Form { return frames{limits.Frame} }, addr, limits)
+}
+
+// Serve is Listen for a party whose incoming connections are of the form that is made for each.
+func (l *Loop) Serve(h Handler, form func() Form, addr string, limits Limits) (string, error) {
+	return l.listen(h, h, form, addr, limits)
+}
+
+func (l *Loop) listen(key any, h Handler, form func() Form, addr string, limits Limits) (string, error) {
+	if limits.Inbox == 0 {
+		limits.Inbox = inboxMost
+	}
 	a := &actor{
-		loop: l, party: p, limits: limits, signal: make(chan struct{}, 1), socks: map[ConnID]*sock{},
+		loop: l, party: h, form: form, limits: limits, signal: make(chan struct{}, 1), socks: map[ConnID]*sock{},
 		stop: make(chan struct{}),
 	}
 	a.room = sync.NewCond(&a.mu)
@@ -88,7 +105,7 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.actors[p] = a
+	l.actors[key] = a
 	if l.begun {
 		l.run(a)
 	}
@@ -136,7 +153,7 @@
 }
 
 // Ask calls do on the party's goroutine and waits until it is done, or the loop is closed.
-func (l *Loop) Ask(p Party, do func(now choice.Millis)) {
+func (l *Loop) Ask(p any, do func(now choice.Millis)) {
 	l.mu.Lock()
 	a := l.actors[p]
 	l.mu.Unlock()
@@ -177,7 +194,7 @@
 const (
 	itemDo itemKind = iota
 	itemOpened
-	itemFrame
+	itemMessage
 	itemClosed
 )
 
@@ -185,7 +202,7 @@
 type item struct {
 	kind itemKind
 	sock *sock
-	f    *pb.Frame
+	m    any
 	why  string
 	at   choice.Millis
 	do   func(now choice.Millis)
@@ -194,7 +211,8 @@
 // actor is a party with its goroutine; it is the net that the party sees.
 type actor struct {
 	loop   *Loop
-	party  Party
+	party  Handler
+	form   func() Form // of connections that come in
 	limits Limits
 	server *server
 	signal chan struct{}
@@ -223,6 +241,8 @@
 	id      ConnID // the actor's, given when it first hears of it
 	gc      gnet.Conn
 	came    bool // it came in
+	form    Form
+	parts   atomic.Uint64 // odd while a message is there in part; it grows with each change
 	failed  atomic.Pointer[string]
 	out     []byte
 	onWay   atomic.Int64 // bytes handed over and not with the event loop yet
@@ -243,7 +263,7 @@
 // postFrames hands frames over, and waits while the party has too much to do: then its peers wait too.
 func (a *actor) postFrames(items []item) {
 	a.mu.Lock()
-	for len(a.inbox) > inboxMost && !a.stopped() {
+	for len(a.inbox) > a.limits.Inbox && !a.stopped() {
 		a.room.Wait()
 	}
 	a.inbox = append(a.inbox, items...)
@@ -337,9 +357,9 @@
 		}
 		a.socks[s.id] = s
 		a.party.Opened(a.now, s.id)
-	case itemFrame:
+	case itemMessage:
 		if !s.closing {
-			a.party.Received(a.now, s.id, i.f)
+			a.party.Received(a.now, s.id, i.m)
 		}
 	case itemClosed:
 		delete(a.socks, s.id)
@@ -354,17 +374,17 @@
 
 func (a *actor) WakeAt(t choice.Millis) { a.wake, a.wakes = t, true }
 
-// Dial is the party's: so are Send and Close.
-func (a *actor) Dial(addr string) ConnID {
+// DialAs is the party's: so are Send and Close.
+func (a *actor) DialAs(addr string, f Form, within choice.Millis) ConnID {
 	a.lastID++
-	s := &sock{actor: a, id: a.lastID}
+	s := &sock{actor: a, id: a.lastID, form: f}
 	a.socks[s.id] = s
-	go a.connect(s, addr)
+	go a.connect(s, addr, time.Duration(float64(within)*1e6))
 	return s.id
 }
 
-func (a *actor) connect(s *sock, addr string) {
-	c, err := net.DialTimeout("tcp", addr, dialWithin)
+func (a *actor) connect(s *sock, addr string, within time.Duration) {
+	c, err := net.DialTimeout("tcp", addr, within)
 	if err == nil {
 		var client *gnet.Client
 		if client, err = a.dialler(); err == nil {
@@ -374,7 +394,7 @@
 		}
 		c.Close()
 	}
-	a.post(item{kind: itemClosed, sock: s, why: err.Error()})
+	a.post(item{kind: itemClosed, sock: s, why: dialError(err)})
 }
 
 // dialler is the event loop of connections that the party dialled.
@@ -410,15 +430,15 @@
 	}
 }
 
-func (a *actor) Send(c ConnID, f *pb.Frame) {
+func (a *actor) Send(c ConnID, m any) {
 	s := a.socks[c]
 	if s == nil || s.closing || !s.opened {
 		return
 	}
 	before := len(s.out)
-	out, err := Append(s.out, f)
+	out, err := s.form.Append(s.out, m)
 	if err != nil {
-		a.loop.log.Error("frame not sent", "err", err)
+		a.loop.log.Error("message not sent", "err", err)
 		return
 	}
 	if s.out = out; before == 0 {
@@ -516,7 +536,7 @@
 func (e *events) OnOpen(c gnet.Conn) ([]byte, gnet.Action) {
 	s, dialled := c.Context().(*sock)
 	if !dialled {
-		s = &sock{actor: e.actor, came: true}
+		s = &sock{actor: e.actor, came: true, form: e.actor.form()}
 		c.SetContext(s)
 	}
 	s.gc = c
@@ -524,7 +544,7 @@
 		e.actor.loop.Stats.TooMany.Add(1)
 		why := fmt.Sprintf("%d connections stand, the most there may be; come again later", e.actor.limits.Connections)
 		s.failed.Store(&why)
-		out, err := Append(nil, Refuse(why))
+		out, err := s.form.Append(nil, Refuse(why)) // other forms have no such message, and just end
 		if err != nil {
 			out = nil
 		}
@@ -563,17 +583,16 @@
 	}
 	var items []item
 	rest := b
-	for {
-		var body []byte
-		body, rest, err = Split(rest, e.actor.limits.Frame)
-		if err != nil || body == nil {
+	for len(rest) > 0 {
+		var m any
+		var n int
+		if m, n, err = s.form.Cut(rest); err != nil || n == 0 {
 			break
 		}
-		var f *pb.Frame
-		if f, err = Decode(body); err != nil {
-			break
+		rest = rest[n:]
+		if m != nil {
+			items = append(items, item{kind: itemMessage, sock: s, m: m})
 		}
-		items = append(items, item{kind: itemFrame, sock: s, f: f})
 	}
 	// Discarding nothing would discard all that is there.
 	if used := len(b) - len(rest); used > 0 {
@@ -591,9 +610,29 @@
 		s.failed.CompareAndSwap(nil, &why)
 		return gnet.Close
 	}
+	if e.actor.limits.Whole > 0 {
+		s.minded(len(rest) < len(b), len(rest) > 0)
+	}
 	return gnet.None
 }
 
+// minded ends the connection if a message that has begun is not whole in time.
+func (s *sock) minded(cut, begun bool) {
+	if s.parts.Load()%2 == 1 && (cut || !begun) {
+		s.parts.Add(1)
+	}
+	if !begun || s.parts.Load()%2 == 1 {
+		return
+	}
+	no := s.parts.Add(1)
+	limit := s.actor.limits.Whole
+	s.actor.post(item{kind: itemDo, at: s.actor.loop.Now() + limit, do: func(choice.Millis) {
+		if s.parts.Load() == no && !s.closing {
+			s.fail(fmt.Sprintf("a message was not whole after %v ms", limit))
+		}
+	}})
+}
+
 // quiet hands gnet's own log lines on where they matter.
 type quiet struct{ log *slog.Logger }
 
--- /dev/null
+++ b/internal/platform/journal.go
@@ -0,0 +1,205 @@
+package platform
+
+import (
+	"encoding/json"
+	"fmt"
+	"slices"
+
+	"grebeglade/choice"
+	"grebeglade/internal/link"
+	"grebeglade/internal/platform/wire"
+)
+
+const (
+	newsWithin   = choice.Millis(2500) // ms: the journal service comments each second, so silence is a fault
+	followWithin = choice.Millis(500)  // ms for a connection to it
+	followFirst  = choice.Millis(50)   // ms before it is dialled again
+	followMost   = choice.Millis(500)  // ms, in the end: what it has to tell counts as told 2 s after a break
+	mostSpoilt   = 3                   // times that one event is asked for again, if it cannot be read
+)
+
+// journal is the connection to the journal service, and how far it was heard.
+type journal struct {
+	addr   string
+	conn   link.ConnID
+	pos    uint64
+	heard  choice.Millis
+	fails  int
+	spoilt int
+}
+
+func (p *Platform) dialJournal(now choice.Millis) {
+	j := &p.journal
+	if j.conn != 0 {
+		return
+	}
+	j.conn, j.heard = p.net.DialAs(j.addr, &wire.Stream{}, followWithin), now
+}
+
+func (p *Platform) journalOpened(now choice.Millis) {
+	j := &p.journal
+	p.net.Send(j.conn, wire.Follow{Host: j.addr, After: j.pos})
+	j.heard = now
+	p.mindJournal(now, j.conn)
+}
+
+// mindJournal dials anew once the journal service has been silent for too long.
+func (p *Platform) mindJournal(now choice.Millis, c link.ConnID) {
+	p.timers.At(p.journal.heard+newsWithin, func(now choice.Millis) {
+		switch {
+		case p.journal.conn != c:
+		case now-p.journal.heard < newsWithin:
+			p.mindJournal(now, c)
+		default:
+			p.redialJournal(now, "it is silent")
+		}
+	})
+}
+
+func (p *Platform) redialJournal(now choice.Millis, why string) {
+	p.log.Info("asking the journal service anew", "why", why)
+	if p.journal.conn != 0 {
+		p.net.Close(p.journal.conn)
+		p.journal.conn = 0
+	}
+	p.dialJournal(now)
+}
+
+func (p *Platform) journalClosed(now choice.Millis, why string) {
+	j := &p.journal
+	j.conn = 0
+	pause := p.backoff(followFirst, followMost, j.fails)
+	j.fails++
+	p.log.Info("the journal service has broken off", "why", why)
+	p.timers.At(now+pause, p.dialJournal)
+}
+
+func (p *Platform) heardNews(now choice.Millis, news *wire.News) {
+	j := &p.journal
+	j.heard = now
+	for _, e := range news.Events {
+		if e.ID <= j.pos {
+			continue // told before
+		}
+		if err := p.news(now, e.Data, false); err != nil {
+			p.log.Warn("event not read", "number", e.ID, "err", err)
+			if j.spoilt++; j.spoilt < mostSpoilt {
+				p.redialJournal(now, "an event cannot be read")
+				return
+			}
+		}
+		j.pos, j.spoilt, j.fails = e.ID, 0, 0
+	}
+}
+
+// endpoint is a node as the journal service describes it.
+type endpoint struct {
+	Name, Address, Zone, Type, Status string
+	Group                             uint16
+	SinceMs                           float64 `json:"since_ms"`
+	Room                              []float64
+}
+
+var states = map[string]choice.NodeState{"Ready": choice.Ready, "Terminating": choice.Draining, "Gone": choice.Gone}
+
+// news takes an event: changes of the list of nodes, or the whole. What was known at the start counts as cached.
+func (p *Platform) news(now choice.Millis, data []byte, cached bool) error {
+	var e struct {
+		Hosts *struct {
+			Snapshot  bool
+			Endpoints []endpoint
+		}
+	}
+	if err := json.Unmarshal(data, &e); err != nil {
+		return fmt.Errorf("event: %w", err)
+	}
+	if e.Hosts == nil {
+		return nil // of something else
+	}
+	nodes := make([]choice.Node, 0, len(e.Hosts.Endpoints))
+	for _, at := range e.Hosts.Endpoints {
+		n, err := p.entry(now, at)
+		if err != nil {
+			return err
+		}
+		nodes = append(nodes, n)
+	}
+	kind := choice.Changes
+	if e.Hosts.Snapshot {
+		kind = choice.Whole
+	}
+	if cached {
+		kind = choice.Cached
+	}
+	p.engine.List(now, kind, nodes)
+	p.follow(now, e.Hosts.Endpoints, nodes, kind != choice.Changes)
+	return nil
+}
+
+func (p *Platform) entry(now choice.Millis, at endpoint) (choice.Node, error) {
+	state, known := states[at.Status]
+	if !known || at.Name == "" {
+		return choice.Node{}, fmt.Errorf("node %.40q has the state %.40q", at.Name, at.Status)
+	}
+	n := choice.Node{
+		ID: p.intern(at.Name).id, State: state, Cell: choice.CellID(at.Group), Born: choice.LongAgo,
+		Kind: choice.KindID(slices.Index(p.c.Told.Kinds, at.Type)),
+		Zone: choice.ZoneID(slices.Index(p.c.Told.Zones, at.Zone)),
+	}
+	if at.SinceMs > 0 {
+		n.Born = now + choice.Millis(at.SinceMs) - p.wall()
+		// The same start must not look like another because clocks are read anew each time.
+		if old := p.nodes[n.ID].entry.Born; max(old-n.Born, n.Born-old) < 20 {
+			n.Born = old
+		}
+	}
+	if len(at.Room) == 2 {
+		n.FreeCores, n.FreeMemory = at.Room[0], at.Room[1]
+	}
+	return n, nil
+}
+
+// follow brings connections in line with the list, and ends what stood on processes that are no more.
+func (p *Platform) follow(now choice.Millis, ends []endpoint, nodes []choice.Node, whole bool) {
+	listed := map[choice.NodeID]bool{}
+	for i, entry := range nodes {
+		n := p.nodes[entry.ID]
+		listed[entry.ID] = true
+		moved := n.addr != "" && n.addr != ends[i].Address
+		restarted := n.listed && n.entry.Born != entry.Born
+		n.entry, n.addr, n.listed = entry, ends[i].Address, true
+		if moved {
+			for _, c := range []*conn{n.conn, n.dialling} {
+				if c != nil {
+					p.drop(now, c, "the node's address has changed")
+				}
+			}
+		}
+		switch {
+		case entry.State == choice.Gone:
+			p.dead(now, n)
+		case restarted:
+			p.lostBefore(now, n, entry.Born)
+		}
+		p.connect(now, n)
+	}
+	if !whole {
+		return
+	}
+	for _, n := range p.sorted() {
+		if n.listed && !listed[n.id] {
+			n.entry.State = choice.Gone
+			p.dead(now, n)
+		}
+	}
+}
+
+// sorted returns the nodes in the order of their ids.
+func (p *Platform) sorted() []*node {
+	all := make([]*node, 0, len(p.nodes))
+	for _, n := range p.nodes {
+		all = append(all, n)
+	}
+	slices.SortFunc(all, func(x, y *node) int { return int(int64(x.id) - int64(y.id)) })
+	return all
+}
--- /dev/null
+++ b/internal/platform/nodes.go
@@ -0,0 +1,373 @@
+package platform
+
+import (
+	"hash/fnv"
+	"strconv"
+
+	"grebeglade/choice"
+	"grebeglade/internal/link"
+	"grebeglade/internal/platform/wire"
+	"grebeglade/internal/settings"
+)
+
+const (
+	connectWithin = choice.Millis(250)  // ms, where the settings do not say
+	redialFirst   = choice.Millis(50)   // ms before a node is dialled again
+	redialMost    = choice.Millis(1000) // ms, in the end: what stands there wants to be heard
+	deadAfter     = choice.Millis(600)  // ms for which nobody listens at an address, until what stood there is lost
+)
+
+// node is a node as the platform names it, with our connections to it.
+type node struct {
+	id        choice.NodeID
+	name      string
+	addr      string
+	entry     choice.Node
+	listed    bool
+	conn      *conn // that new binds take
+	dialling  *conn
+	waiting   []func(c *conn) // for the connection that is dialled; nil when there is none
+	fails     int
+	refused   choice.Millis // since when nobody listens, or 0
+	redialing bool
+	holds     map[choice.WorkloadID]*workload // out or standing there
+}
+
+// intern names a node by a number that depends on its name alone, so that all allocators know it by the same.
+func (p *Platform) intern(name string) *node {
+	if n := p.byName[name]; n != nil {
+		return n
+	}
+	h := fnv.New32a()
+	h.Write([]byte(name))
+	id := choice.NodeID(h.Sum32())
+	for p.nodes[id] != nil {
+		id++
+	}
+	n := &node{id: id, name: name, holds: map[choice.WorkloadID]*workload{}}
+	n.entry = choice.Node{ID: id, State: choice.Gone, Born: choice.LongAgo}
+	p.nodes[id], p.byName[name] = n, n
+	return n
+}
+
+// forget lets go of a node that is gone and holds nothing.
+func (p *Platform) forget(now choice.Millis, n *node) {
+	if n.entry.State != choice.Gone || len(n.holds) > 0 || p.nodes[n.id] != n {
+		return
+	}
+	delete(p.nodes, n.id)
+	delete(p.byName, n.name)
+	for _, c := range []*conn{n.conn, n.dialling} {
+		if c != nil {
+			p.drop(now, c, "the node is gone")
+		}
+	}
+}
+
+// connect dials a node, unless it is connected or there is nothing to dial.
+func (p *Platform) connect(now choice.Millis, n *node) {
+	if n.conn != nil || n.dialling != nil || n.addr == "" || n.entry.State == choice.Gone {
+		return
+	}
+	within := p.c.Told.ConnectTimeout
+	if within <= 0 {
+		within = connectWithin
+	}
+	id := p.net.DialAs(n.addr, wire.Binary{}, within)
+	n.dialling = &conn{id: id, node: n, open: map[choice.WorkloadID]*workload{}}
+	p.conns[id] = n.dialling
+}
+
+func (p *Platform) nodeOpened(now choice.Millis, c *conn) {
+	n := c.node
+	c.opened, c.heard = true, now
+	if n.dialling != c {
+		p.drop(now, c, "another connection is used")
+		return
+	}
+	n.dialling, n.conn, n.fails, n.refused = nil, c, 0, 0
+	waiting := n.waiting
+	n.waiting = nil
+	for _, call := range waiting {
+		call(c)
+	}
+}
+
+// nodeClosed takes the end of a connection to a node, or that there will be none. What was out there may have run.
+func (p *Platform) nodeClosed(now choice.Millis, c *conn, why string) {
+	n := c.node
+	if n.conn == c {
+		n.conn = nil
+	}
+	for _, wl := range inOrder(c.open) {
+		p.unbind(wl)
+		p.engine.Settled(now, wl.id, wl.bind, n.id, choice.Result{Kind: choice.Unclear, Over: false})
+	}
+	if n.dialling == c {
+		n.dialling = nil
+		waiting := n.waiting
+		n.waiting = nil
+		for _, call := range waiting {
+			call(nil)
+		}
+		n.fails++
+		switch {
+		case why != link.Refused:
+			n.refused = 0
+		case n.refused == 0:
+			n.refused = now
+		case now-n.refused >= deadAfter:
+			p.dead(now, n)
+		}
+	}
+	p.redial(now, n)
+}
+
+func (p *Platform) redial(now choice.Millis, n *node) {
+	if n.redialing || n.entry.State == choice.Gone {
+		return
+	}
+	n.redialing = true
+	p.timers.At(now+p.backoff(redialFirst, redialMost, n.fails), func(now choice.Millis) {
+		n.redialing = false
+		if p.nodes[n.id] == n {
+			p.connect(now, n)
+		}
+	})
+}
+
+// dead ends what stood on a node whose process is no more.
+func (p *Platform) dead(now choice.Millis, n *node) { p.lostBefore(now, n, now+1) }
+
+// lostBefore ends what was confirmed before that time: the process that held it is no more.
+func (p *Platform) lostBefore(now choice.Millis, n *node, born choice.Millis) {
+	for _, wl := range inOrder(n.holds) {
+		if wl.placed && wl.stands < born {
+			p.Counts.Lost++
+			wl.cause = wire.Broken
+			p.engine.Settled(now, wl.id, wl.bind, n.id, choice.Result{Kind: choice.Ended, Over: true})
+		}
+	}
+	p.forget(now, n)
+}
+
+// offer sends a bind, over a connection that is there or comes up in time.
+func (p *Platform) offer(wl *workload, until choice.Millis) {
+	n, bind := wl.node, wl.bind
+	if n == nil {
+		p.never(wl)
+		return
+	}
+	n.holds[wl.id] = wl
+	if n.conn != nil {
+		p.send(wl, n.conn, until)
+		return
+	}
+	p.connect(p.now, n)
+	if n.dialling == nil {
+		p.never(wl)
+		return
+	}
+	n.waiting = append(n.waiting, func(c *conn) {
+		if p.wls[wl.id] != wl || wl.bind != bind || wl.out || wl.node != n {
+			return
+		}
+		// Meanwhile the node may drain, or its time be over.
+		if c == nil || n.entry.State != choice.Ready || until <= p.now {
+			p.never(wl)
+			return
+		}
+		p.send(wl, c, until)
+	})
+}
+
+// never has the engine hear, once it is done with what it does, that a bind did not leave.
+func (p *Platform) never(wl *workload) {
+	bind := wl.bind
+	p.later = append(p.later, func(now choice.Millis) {
+		if p.wls[wl.id] == wl && wl.bind == bind {
+			p.unbind(wl)
+			node := choice.NodeID(0)
+			if wl.node != nil {
+				node = wl.node.id
+			}
+			p.engine.Settled(now, wl.id, bind, node, choice.Result{Kind: choice.Unreachable})
+		}
+	})
+}
+
+func (p *Platform) send(wl *workload, c *conn, until choice.Millis) {
+	wl.on, wl.out, wl.sentAt = c, true, p.now
+	c.open[wl.id] = wl
+	p.net.Send(c.id, &wire.Message{
+		Verb: wire.Start, Tag: wl.tag, Description: wl.asked, Fields: map[wire.Field]string{
+			wire.Group: wl.class, wire.Left: strconv.Itoa(int(until - p.now)), wire.Key: wl.key,
+		},
+	})
+}
+
+// unbind takes the last bind of a workload off its connection. It is out no more.
+func (p *Platform) unbind(wl *workload) {
+	wl.out = false
+	if wl.on != nil {
+		delete(wl.on.open, wl.id)
+	}
+	if wl.node != nil && !wl.placed {
+		delete(wl.node.holds, wl.id)
+	}
+}
+
+// giveUp tells a node that nobody waits for a bind any more. Where it was withdrawn, that is the bind's end.
+func (p *Platform) giveUp(wl *workload, timedOut bool) {
+	c, out := wl.on, wl.out
+	p.unbind(wl)
+	if out {
+		p.net.Send(c.id, wire.Message{Verb: wire.Finish, Tag: wl.tag}.With(wire.Well))
+	}
+	if timedOut {
+		// A connection on which nothing has come since is no place for the next bind.
+		if out && c.heard < wl.sentAt && c.node.conn == c {
+			c.node.conn = nil
+			p.connect(p.now, c.node)
+		}
+		p.retire(c)
+		return
+	}
+	bind, kind := wl.bind, choice.Unclear
+	if !out {
+		kind = choice.Unreachable
+	}
+	p.later = append(p.later, func(now choice.Millis) {
+		if p.wls[wl.id] == wl && wl.node != nil {
+			p.engine.Settled(now, wl.id, bind, wl.node.id, choice.Result{Kind: kind, Over: true})
+		}
+	})
+}
+
+// retire ends a connection that new binds do not take, once nothing is out on it.
+func (p *Platform) retire(c *conn) {
+	if c == nil || c.node.conn == c || len(c.open) > 0 || p.conns[c.id] != c || c.node.conn == nil {
+		return
+	}
+	p.later = append(p.later, func(now choice.Millis) {
+		if p.conns[c.id] == c {
+			p.drop(now, c, "another connection is used")
+		}
+	})
+}
+
+// release ends a workload at its node.
+func (p *Platform) release(wl *workload) {
+	c := wl.on
+	if c == nil || p.conns[c.id] != c {
+		c = wl.node.conn
+	}
+	if c != nil {
+		p.net.Send(c.id, wire.Message{Verb: wire.Finish, Tag: wl.tag}.With(wire.Well))
+	}
+}
+
+var noteKinds = map[string]choice.NoteKind{"up": choice.Running, "cpu": choice.CoresUsed}
+
+var reasons = map[string]choice.Reason{
+	"cpu_full": choice.NoCores, "mem_full": choice.NoMemory, "busy": choice.TooManyWaiting, "wrong_host": choice.NotHere,
+	"oom": choice.Evicted, "preempted": choice.PushedOut, "drained": choice.SentAway,
+}
+
+func (p *Platform) fromNode(now choice.Millis, c *conn, m *wire.Message) {
+	n := c.node
+	load, err := p.load(m)
+	if err != nil {
+		p.drop(now, c, err.Error())
+		return
+	}
+	wl := p.tags[m.Tag]
+	if wl != nil && wl.node != n {
+		wl = nil
+	}
+	switch {
+	case m.Verb == wire.Echoed:
+		if p.probes[m.Tag] == n.id {
+			delete(p.probes, m.Tag)
+			p.engine.Probed(now, n.id, true, load)
+			load = nil
+		}
+	case wl == nil: // its end was said before, or it is nobody's
+	case m.Verb == wire.Started && wl.out:
+		if m.Description == nil {
+			p.drop(now, c, "an answer without a description")
+			return
+		}
+		p.unbind(wl)
+		wl.answer, wl.placed, wl.stands = m.Description, true, now
+		p.engine.Confirmed(now, wl.id, wl.bind, load)
+		load = nil
+	case m.Verb == wire.Finish && (wl.out || wl.placed):
+		p.unbind(wl)
+		wl.cause = m.Cause
+		p.engine.Settled(now, wl.id, wl.bind, n.id, choice.Result{
+			Kind: resultOf(m.Cause), Reason: reasons[m.Fields[wire.Note]], Over: wl.placed, Load: load,
+		})
+		load = nil
+	case m.Verb == wire.Notice && wl.placed:
+		kind, known := noteKinds[m.Fields[wire.Note]]
+		if v, err := strconv.ParseFloat(m.Fields[wire.Figure], 64); known && (err == nil || kind == choice.Running) {
+			p.engine.Note(now, wl.id, wl.bind, kind, v)
+		}
+	}
+	if load != nil {
+		p.engine.Report(now, n.id, *load)
+	}
+	p.retire(c)
+}
+
+// resultOf says what a cause means for a bind that is out.
+func resultOf(c wire.Cause) choice.ResultKind {
+	switch c {
+	case wire.Full:
+		return choice.Declined
+	case wire.Moot:
+		return choice.NotSent
+	}
+	return choice.Unclear
+}
+
+// load reads the report that a message brings, or returns nil.
+func (p *Platform) load(m *wire.Message) (*choice.Load, error) {
+	text, ok := m.Fields[wire.Report]
+	if !ok {
+		return nil, nil
+	}
+	l := settings.NoLoad()
+	err := wire.Figures(text, func(name, v string) error {
+		n, err := strconv.ParseFloat(v, 64)
+		if err == nil && wire.Finite(n) {
+			settings.SetLoad(l, name, n)
+		}
+		return err
+	})
+	return l, err
+}
+
+// test asks a node for its report.
+func (p *Platform) test(id choice.NodeID) {
+	p.Counts.Probes++
+	n := p.nodes[id]
+	if n == nil || n.conn == nil {
+		if n != nil {
+			p.connect(p.now, n)
+		}
+		p.later = append(p.later, func(now choice.Millis) { p.engine.Probed(now, id, false, nil) })
+		return
+	}
+	p.probe++
+	t := p.probe
+	p.probes[t] = id
+	p.net.Send(n.conn.id, wire.Message{Verb: wire.Echo, Tag: t}.With(wire.Failed))
+	p.timers.At(p.now+endGrace, func(now choice.Millis) {
+		if _, out := p.probes[t]; out {
+			delete(p.probes, t)
+			p.engine.Probed(now, id, false, nil)
+		}
+	})
+}
--- /dev/null
+++ b/internal/platform/owners.go
@@ -0,0 +1,239 @@
+package platform
+
+import (
+	"fmt"
+	"math"
+	"strconv"
+
+	"grebeglade/choice"
+	"grebeglade/internal/link"
+	"grebeglade/internal/platform/wire"
+)
+
+// mostLeft bounds how long an owner may say that it waits: a day.
+const mostLeft = 86400e3
+
+func (p *Platform) ownerOpened(now choice.Millis, id link.ConnID) {
+	c := &conn{id: id, opened: true, heard: now, open: map[choice.WorkloadID]*workload{}}
+	p.conns[id] = c
+	if p.owners++; p.owners > p.mostOwners() {
+		p.makeRoom(now, c)
+	}
+	p.timers.At(now+muteFor, func(now choice.Millis) {
+		if p.conns[id] == c && !c.spoke {
+			p.Counts.Bad++
+			p.drop(now, c, "nothing came")
+		}
+	})
+}
+
+// makeRoom ends the owner's connection that is least missed: one that never spoke before one that has no set-up
+// open, and of these the one longest silent. It guards against owners that open connections and keep them. Where
+// all carry set-ups, the new one goes.
+func (p *Platform) makeRoom(now choice.Millis, latest *conn) {
+	least := latest
+	for _, c := range p.conns {
+		switch {
+		case c.node != nil || c == latest || len(c.open) > 0:
+		case least == latest, least.spoke && !c.spoke, least.spoke == c.spoke && c.heard < least.heard:
+			least = c
+		}
+	}
+	p.drop(now, least, "others need the room")
+}
+
+// ownerClosed withdraws what an owner's connection had open: no answer can reach it any more.
+func (p *Platform) ownerClosed(now choice.Millis, c *conn) {
+	p.owners--
+	for _, wl := range inOrder(c.open) {
+		p.withdraw(now, wl)
+	}
+}
+
+func (p *Platform) withdraw(now choice.Millis, wl *workload) {
+	p.Counts.Withdrawn++
+	p.answered(wl)
+	p.engine.Withdraw(now, wl.id)
+}
+
+func (p *Platform) fromOwner(now choice.Millis, c *conn, m *wire.Message) {
+	c.spoke = true
+	switch m.Verb {
+	case wire.Start:
+		p.start(now, c, m)
+	case wire.Finish:
+		wl := p.tags[m.Tag]
+		if wl == nil || !wl.placed && wl.from != c.id {
+			return
+		}
+		// What stands is ended on any connection; what is pending only where it was asked.
+		p.withdraw(now, wl)
+	case wire.Echo:
+		verdict := wire.Passed
+		if p.stopping {
+			verdict = wire.Failed
+		}
+		p.net.Send(c.id, wire.Message{Verb: wire.Echoed, Tag: m.Tag}.With(verdict))
+	case wire.Pending, wire.Finished, wire.Notice, wire.Echoed:
+	default:
+		p.bad(now, c, m.Tag, fmt.Errorf("an owner may not send %v", m.Verb))
+		return
+	}
+	p.payOwed(now, c)
+}
+
+// bad answers what cannot be used, and ends the connection that it came on.
+func (p *Platform) bad(now choice.Millis, c *conn, t wire.Tag, err error) {
+	p.Counts.Bad++
+	p.log.Debug("not taken", "tag", t, "err", err)
+	p.net.Send(c.id, wire.Message{Verb: wire.Finish, Tag: t}.With(wire.Incompatible))
+	p.drop(now, c, err.Error())
+}
+
+// start takes a set-up: one more workload, or one that stands already.
+func (p *Platform) start(now choice.Millis, c *conn, m *wire.Message) {
+	w, at, err := p.read(m)
+	known := p.tags[m.Tag]
+	switch {
+	case err != nil:
+		p.bad(now, c, m.Tag, err)
+		return
+	case known != nil && at != "":
+		return // it is on the books
+	case known != nil && known.from == c.id && !known.done:
+		p.bad(now, c, m.Tag, fmt.Errorf("the tag is that of another set-up"))
+		return
+	case known != nil:
+		p.net.Send(c.id, wire.Message{Verb: wire.Finish, Tag: m.Tag}.With(wire.Incompatible))
+		return
+	case at == "" && (p.stopping && now-p.stopAt > drainFor || len(p.wls) >= heldPerMB*p.c.Limits.MemoryMB),
+		p.lastID == math.MaxUint32:
+		p.net.Send(c.id, wire.Message{Verb: wire.Finish, Tag: m.Tag}.With(wire.Full))
+		return
+	}
+	p.lastID++
+	w.ID = p.lastID
+	wl := &workload{
+		id: w.ID, tag: m.Tag, group: w.Group, class: m.Fields[wire.Group], key: m.Fields[wire.Key],
+		asked: m.Description, from: c.id,
+	}
+	p.wls[w.ID], p.tags[m.Tag] = wl, wl
+	if at != "" {
+		p.adopt(now, wl, w, at)
+		return
+	}
+	p.Counts.Asks++
+	p.pending++
+	c.open[w.ID] = wl
+	p.engine.Ask(now, w)
+}
+
+// adopt takes a workload that stands on a node.
+func (p *Platform) adopt(now choice.Millis, wl *workload, w choice.Workload, at string) {
+	p.Counts.Adopted++
+	n := p.intern(at)
+	wl.done, wl.placed, wl.node, wl.stands = true, true, n, now
+	n.holds[wl.id] = wl
+	p.engine.Adopt(now, w, n.id)
+	p.connect(now, n)
+}
+
+// read checks a set-up. What no owner would send must not reach the decisions: a figure out of range would stay in
+// what they reckon with.
+func (p *Platform) read(m *wire.Message) (w choice.Workload, at string, err error) {
+	var known bool
+	if w.Group, known = p.groups[m.Fields[wire.Group]]; !known {
+		return w, "", fmt.Errorf("class %.40q is not known", m.Fields[wire.Group])
+	}
+	if m.Description == nil {
+		return w, "", fmt.Errorf("the description is missing")
+	}
+	if len(m.Fields[wire.Key]) == 0 || len(m.Fields[wire.Key]) > 64 {
+		return w, "", fmt.Errorf("key %.40q is none", m.Fields[wire.Key])
+	}
+	err = wire.Figures(m.Fields[wire.Extras], func(name, v string) (err error) {
+		switch name {
+		case "cores":
+			w.Cores, err = amount(name, v)
+		case "memory":
+			w.Memory, err = amount(name, v)
+		case "service":
+			var n uint64
+			if n, err = strconv.ParseUint(v, 16, 64); err != nil {
+				err = fmt.Errorf("service %.40q is no number in hex", v)
+			}
+			w.Service = choice.ServiceID(n)
+		case "at":
+			at = v
+		}
+		return err
+	})
+	if err != nil {
+		return w, "", err
+	}
+	if !p.fitsAny(w) {
+		return w, "", fmt.Errorf("asks for %v cores and %v of memory, which no kind of node has", w.Cores, w.Memory)
+	}
+	if at == "" {
+		var left float64
+		if left, err = amount("left", m.Fields[wire.Left]); err != nil {
+			return w, "", err
+		}
+		w.Left = choice.Millis(left)
+	}
+	w.Again = m.Fields[wire.Retry] != "" && m.Fields[wire.Retry] != "0"
+	return w, at, nil
+}
+
+func (p *Platform) fitsAny(w choice.Workload) bool {
+	for _, k := range p.c.Told.Settings.Kinds {
+		if w.Cores > 0 && w.Memory > 0 && w.Cores <= k.Cores && w.Memory <= k.Memory {
+			return true
+		}
+	}
+	return false
+}
+
+func amount(name, v string) (float64, error) {
+	n, err := strconv.ParseFloat(v, 64)
+	if err != nil || !wire.Finite(n) || n <= 0 || n > mostLeft {
+		return 0, fmt.Errorf("%s is %.40q; it must be a number above 0", name, v)
+	}
+	return n, nil
+}
+
+// tellOwner sends on the connection that a workload came on, else on the one of an owner that was served and was heard
+// of last; without any it waits for one.
+func (p *Platform) tellOwner(wl *workload, m *wire.Message) {
+	if p.conns[wl.from] != nil {
+		p.net.Send(wl.from, m)
+		return
+	}
+	var last *conn
+	for _, c := range p.conns {
+		if c.node == nil && c.served && (last == nil || c.heard > last.heard || c.heard == last.heard && c.id > last.id) {
+			last = c
+		}
+	}
+	if last != nil {
+		p.net.Send(last.id, m)
+		return
+	}
+	if len(p.over) >= keepOver {
+		p.over = p.over[1:]
+	}
+	p.over = append(p.over, owed{m, p.now + 10*endGrace})
+}
+
+// payOwed sends what has waited for an owner.
+func (p *Platform) payOwed(now choice.Millis, c *conn) {
+	if len(p.over) == 0 || p.conns[c.id] != c {
+		return
+	}
+	for _, o := range p.over {
+		if now < o.until {
+			p.net.Send(c.id, o.m)
+		}
+	}
+	p.over = nil
+}
--- /dev/null
+++ b/internal/platform/platform.go
@@ -0,0 +1,394 @@
+// Package platform is the allocator as a party on the users' platform: owners' lines come in, nodes' binary messages go
+// out, the journal service tells of nodes. It keeps who is who, which workload is on which connection, and what ends
+// when a connection does. Where a workload goes, the engine's module decides.
+package platform
+
+import (
+	"log/slog"
+	"math"
+	"slices"
+	"time"
+
+	"grebeglade/choice"
+	"grebeglade/internal/allocator"
+	"grebeglade/internal/link"
+	"grebeglade/internal/platform/wire"
+)
+
+// What the platform's protocol states, or leaves to both sides to bear.
+const (
+	muteFor     = choice.Millis(2000) // ms a connection may stay without a whole message; the platform wants a word in 3 s
+	wholeWithin = choice.Millis(1000) // ms from a message's first byte to its last
+	drainFor    = choice.Millis(750)  // ms after SIGTERM in which asks still come and are served
+	endGrace    = choice.Millis(3000) // ms that a node may take to confirm an end that we sent it
+	pulse       = choice.Millis(1000) // ms between wake-ups at least
+	keepOver    = 4096                // releases that wait for a connection to an owner
+	heldPerMB   = 64                  // workloads held for each MB of memory: a few KB each, with their descriptions
+)
+
+// Shares of the descriptors. What is left is for the listener, the event loops, the journal service and dials.
+const (
+	ownersShare = 0.5 // owners keep to a third; the rest is for those that do not
+)
+
+type workload struct {
+	id     choice.WorkloadID
+	tag    wire.Tag
+	group  choice.GroupID
+	class  string
+	key    string
+	asked  *string // description of the set-up
+	from   link.ConnID
+	bind   int // number of the last one
+	node   *node
+	on     *conn // to the node, of the last bind
+	out    bool  // its bind has left and has no end
+	sentAt choice.Millis
+	answer *string // description of the node's answer
+	stands choice.Millis
+	done   bool // answered, or withdrawn: no answer is owed
+	placed bool
+	moved  bool
+	cause  wire.Cause // of the end that the node told
+}
+
+// conn is one connection, to a node or from an owner.
+type conn struct {
+	id     link.ConnID
+	node   *node
+	opened bool
+	spoke  bool // a whole message came
+	served bool // a workload of its owner was placed
+	heard  choice.Millis
+	open   map[choice.WorkloadID]*workload // set-ups that have no answer here
+}
+
+// Platform is the party. It belongs to one goroutine.
+type Platform struct {
+	c      *Config
+	log    *slog.Logger
+	wall   func() choice.Millis // Unix time
+	net    link.Wire
+	now    choice.Millis
+	engine *allocator.Engine
+	timers link.Timers
+	later  []func(choice.Millis)
+	wake   choice.Millis
+	wakes  bool
+	due    choice.Millis
+
+	conns   map[link.ConnID]*conn
+	owners  int
+	wls     map[choice.WorkloadID]*workload
+	tags    map[wire.Tag]*workload
+	lastID  choice.WorkloadID
+	pending int
+	over    []owed
+
+	groups map[string]choice.GroupID
+	nodes  map[choice.NodeID]*node
+	byName map[string]*node
+	probes map[wire.Tag]choice.NodeID
+	probe  wire.Tag
+
+	journal  journal
+	stopping bool
+	stopAt   choice.Millis
+	draws    uint64
+	lost     bool // what ends now has been lost with its node
+
+	Counts Counts
+}
+
+// Counts are of what passed.
+type Counts struct {
+	Asks, Placed, Rejected, Unschedulable, Withdrawn, Adopted, Binds, Moves, Probes, Bad, Lost, Released uint64
+}
+
+// owed is a message that waits for a connection to an owner.
+type owed struct {
+	m     *wire.Message
+	until choice.Millis
+}
+
+// New makes the party. Its log may be nil.
+func New(c *Config, log *slog.Logger) *Platform {
+	if log == nil {
+		log = slog.New(slog.DiscardHandler)
+	}
+	p := &Platform{
+		c: c, log: log, conns: map[link.ConnID]*conn{}, wls: map[choice.WorkloadID]*workload{},
+		tags: map[wire.Tag]*workload{}, groups: map[string]choice.GroupID{}, nodes: map[choice.NodeID]*node{},
+		byName: map[string]*node{}, probes: map[wire.Tag]choice.NodeID{},
+		wall: func() choice.Millis { return choice.Millis(float64(time.Now().UnixNano()) / 1e6) },
+	}
+	for i, name := range c.Told.Groups {
+		p.groups[name] = choice.GroupID(i)
+	}
+	p.journal.addr, p.journal.pos = c.Journal, c.Pos
+	p.engine = allocator.New(c.Told.Settings, c.Seed, (*world)(p), allocator.Options{TimesOut: true})
+	return p
+}
+
+// Limits are those of the party's connections.
+func (p *Platform) Limits() link.Limits {
+	return link.Limits{
+		Frame: wire.MostBytes, Waiting: 256 << 10, Connections: p.mostOwners() + 8, Inbox: 512, Whole: wholeWithin,
+	}
+}
+
+func (p *Platform) mostOwners() int { return int(float64(p.c.Limits.Sockets) * ownersShare) }
+
+func (p *Platform) Start(now choice.Millis, w link.Wire) {
+	p.now, p.net = now, w
+	for i, raw := range p.c.Known {
+		if err := p.news(now, raw, i == 0); err != nil {
+			p.log.Warn("known event not read", "err", err)
+		}
+	}
+	p.c.Known = nil
+	p.engine.Start(now)
+	p.dialJournal(now)
+	p.settle(now)
+}
+
+// Stop has tests fail from now on; asks are served a little longer, then rejected.
+func (p *Platform) Stop(now choice.Millis) {
+	if !p.stopping {
+		p.stopping, p.stopAt = true, now
+	}
+}
+
+// Stopped tells whether all that is owed has been said since Stop.
+func (p *Platform) Stopped(now choice.Millis) bool {
+	return p.stopping && now-p.stopAt > drainFor && p.pending == 0
+}
+
+// Reload takes a new address of the journal service.
+func (p *Platform) Reload(now choice.Millis, journal string) {
+	p.journal.addr, p.journal.fails = journal, 0
+	p.redialJournal(now, "the address has changed")
+	p.settle(now)
+}
+
+func (p *Platform) Wake(now choice.Millis) {
+	p.now, p.due = now, now
+	p.timers.Run(now)
+	if p.wakes && p.wake <= now {
+		p.wakes = false
+		p.engine.Tick(now)
+	}
+	p.settle(now)
+}
+
+// settle hands the engine what came up while it was at work, then sets the wake-up.
+func (p *Platform) settle(now choice.Millis) {
+	for len(p.later) > 0 {
+		calls := p.later
+		p.later = nil
+		for _, call := range calls {
+			call(now)
+		}
+	}
+	next := now + pulse
+	if at, ok := p.timers.Next(); ok {
+		next = min(next, max(at, now))
+	}
+	if p.wakes {
+		next = min(next, max(p.wake, now))
+	}
+	if p.due > now && p.due <= next {
+		return
+	}
+	p.due = next
+	p.net.WakeAt(next)
+}
+
+func (p *Platform) Opened(now choice.Millis, id link.ConnID) {
+	p.now = now
+	c := p.conns[id]
+	switch {
+	case id == p.journal.conn:
+		p.journalOpened(now)
+	case c != nil && c.node != nil:
+		p.nodeOpened(now, c)
+	case c == nil:
+		p.ownerOpened(now, id)
+	}
+	p.settle(now)
+}
+
+func (p *Platform) Received(now choice.Millis, id link.ConnID, m any) {
+	p.now = now
+	c := p.conns[id]
+	switch m := m.(type) {
+	case *wire.News:
+		if id == p.journal.conn {
+			p.heardNews(now, m)
+		}
+	case *wire.Message:
+		if c == nil {
+			break
+		}
+		c.heard = now
+		if c.node != nil {
+			p.fromNode(now, c, m)
+		} else {
+			p.fromOwner(now, c, m)
+		}
+	}
+	p.settle(now)
+}
+
+func (p *Platform) Closed(now choice.Millis, id link.ConnID, why string) {
+	p.now = now
+	p.closed(now, id, why)
+	p.settle(now)
+}
+
+func (p *Platform) closed(now choice.Millis, id link.ConnID, why string) {
+	c := p.conns[id]
+	delete(p.conns, id)
+	switch {
+	case id == p.journal.conn && id != 0:
+		p.journalClosed(now, why)
+	case c == nil:
+	case c.node != nil:
+		p.nodeClosed(now, c, why)
+	default:
+		p.ownerClosed(now, c)
+	}
+}
+
+// drop ends a connection from our side.
+func (p *Platform) drop(now choice.Millis, c *conn, why string) {
+	p.net.Close(c.id)
+	p.closed(now, c.id, why)
+}
+
+// inOrder returns the workloads of a set in the order of their ids.
+func inOrder(set map[choice.WorkloadID]*workload) []*workload {
+	all := make([]*workload, 0, len(set))
+	for _, wl := range set {
+		all = append(all, wl)
+	}
+	slices.SortFunc(all, func(x, y *workload) int { return int(int64(x.id) - int64(y.id)) })
+	return all
+}
+
+// world is the platform as the engine sees it.
+type world Platform
+
+func (w *world) Bind(id choice.WorkloadID, bind int, to choice.NodeID, timeout choice.Millis) {
+	p := (*Platform)(w)
+	wl := p.wls[id]
+	wl.bind, wl.node, wl.on, wl.out = bind, p.nodes[to], nil, false
+	p.Counts.Binds++
+	p.offer(wl, p.now+timeout)
+}
+
+func (w *world) Stop(id choice.WorkloadID, _ int, _ choice.NodeID, why allocator.Why, _ bool) {
+	p := (*Platform)(w)
+	wl := p.wls[id]
+	switch {
+	case why == allocator.Moved:
+		// The platform ends it at its node too, which then says so.
+		p.Counts.Moves++
+		wl.moved = true
+		p.tellOwner(wl, &wire.Message{Verb: wire.Move, Tag: wl.tag})
+	case wl.placed:
+		p.release(wl)
+		bind := wl.bind
+		p.timers.At(p.now+endGrace, func(now choice.Millis) {
+			if p.wls[id] == wl {
+				p.engine.Settled(now, id, bind, wl.node.id, choice.Result{Kind: choice.Ended, Over: true})
+			}
+		})
+	default:
+		p.giveUp(wl, why == allocator.TimedOut)
+	}
+}
+
+func (w *world) Probe(id choice.NodeID) { (*Platform)(w).test(id) }
+
+// Watch has nothing to ask: the journal service is followed at all times.
+func (w *world) Watch() {}
+
+func (w *world) Answer(id choice.WorkloadID, v allocator.Verdict, _ choice.NodeID) {
+	p := (*Platform)(w)
+	wl := p.wls[id]
+	c := p.answered(wl)
+	m := wire.Message{Verb: wire.Finish, Tag: wl.tag}
+	switch v {
+	case allocator.Placed:
+		p.Counts.Placed++
+		if c != nil {
+			c.served = true
+		}
+		p.net.Send(wl.from, &wire.Message{Verb: wire.Started, Tag: wl.tag, Description: wl.answer})
+	case allocator.Rejected:
+		p.Counts.Rejected++
+		p.net.Send(wl.from, m.With(wire.Full))
+	default:
+		p.Counts.Unschedulable++
+		p.net.Send(wl.from, m.With(wire.Broken))
+	}
+}
+
+// answered takes a workload off what is owed, and returns the connection that it came on, if it stands.
+func (p *Platform) answered(wl *workload) *conn {
+	c := p.conns[wl.from]
+	if c != nil {
+		delete(c.open, wl.id)
+	}
+	if !wl.done {
+		wl.done = true
+		p.pending--
+	}
+	return c
+}
+
+func (w *world) Ended(id choice.WorkloadID, _ choice.NodeID, moved bool, _ choice.Reason) {
+	p := (*Platform)(w)
+	wl := p.wls[id]
+	cause := wl.cause
+	if !wl.placed || cause == 0 {
+		cause = wire.Broken
+	}
+	if moved || wl.moved || cause == wire.Cancelled {
+		return // its owner has been told, or was the one to end it
+	}
+	p.Counts.Released++
+	p.tellOwner(wl, wire.Message{Verb: wire.Finish, Tag: wl.tag}.With(cause))
+}
+
+func (w *world) Dropped(id choice.WorkloadID) {
+	p := (*Platform)(w)
+	wl := p.wls[id]
+	p.answered(wl)
+	p.unbind(wl)
+	if wl.node != nil {
+		delete(wl.node.holds, id)
+	}
+	delete(p.wls, id)
+	if p.tags[wl.tag] == wl {
+		delete(p.tags, wl.tag)
+	}
+}
+
+func (w *world) Wake(at choice.Millis) {
+	if p := (*Platform)(w); !p.wakes || at < p.wake {
+		p.wake, p.wakes = at, true
+	}
+}
+
+// jitter is a quarter more or less than d, by chance.
+func (p *Platform) jitter(d choice.Millis) choice.Millis {
+	p.draws = p.draws*6364136223846793005 + p.c.Seed | 1
+	return d * choice.Millis(0.75+float64(p.draws>>33%1000)/2000)
+}
+
+// backoff is a pause that doubles with each failure in a row.
+func (p *Platform) backoff(first, most choice.Millis, fails int) choice.Millis {
+	return p.jitter(min(most, first*choice.Millis(math.Exp2(float64(min(fails, 16))))))
+}
--- a/internal/drill/settings.go
+++ b/internal/settings/settings.go
@@ -1,13 +1,87 @@
-package drill
+// Package settings turns what an allocator is told at its start into what decisions need. The same names and values
+// come as lines of path=value, or as nested JSON.
+package settings
 
 import (
+	"bytes"
+	"encoding/json"
 	"fmt"
+	"math"
+	"slices"
 	"strconv"
 	"strings"
 
 	"grebeglade/choice"
 )
 
+// Told is what was told. Names are in the order of the numbers that decisions know them by.
+type Told struct {
+	choice.Settings
+	Reports        []string // values in a load report
+	Groups         []string
+	Kinds          []string
+	Zones          []string
+	ConnectTimeout choice.Millis // a connection that is not up by then has failed; 0 where it is not told
+}
+
+// SetLoad sets the value of that name in a load report; other names are passed over.
+func SetLoad(l *choice.Load, name string, v float64) {
+	switch name {
+	case "x0":
+		l.SpareCores = v
+	case "x1":
+		l.SpareMemory = v
+	case "backlog", "queue":
+		l.Backlog = v
+	case "utilization", "util":
+		l.Utilization = v
+	}
+}
+
+// NoLoad is a report that lacks all values.
+func NoLoad() *choice.Load {
+	none := math.NaN()
+	return &choice.Load{SpareCores: none, SpareMemory: none, Backlog: none, Utilization: none}
+}
+
+// FromJSON reads the nested form.
+func FromJSON(raw []byte) (*Told, error) {
+	var root map[string]any
+	d := json.NewDecoder(bytes.NewReader(raw))
+	d.UseNumber()
+	if err := d.Decode(&root); err != nil {
+		return nil, fmt.Errorf("settings: %w", err)
+	}
+	c := &config{pairs: map[string]string{}}
+	c.flatten("", root)
+	return c.read()
+}
+
+// flatten writes a JSON value as pairs: plain lists joined by commas, lists of objects by number and count.
+func (c *config) flatten(path string, v any) {
+	switch v := v.(type) {
+	case map[string]any:
+		for name, part := range v {
+			c.flatten(strings.TrimPrefix(path+"."+name, "."), part)
+		}
+	case []any:
+		if slices.ContainsFunc(v, func(e any) bool { _, is := e.(map[string]any); return is }) {
+			c.pairs[path+".count"] = strconv.Itoa(len(v))
+			for i, e := range v {
+				c.flatten(fmt.Sprintf("%s.%d", path, i), e)
+			}
+			return
+		}
+		plain := make([]string, len(v))
+		for i, e := range v {
+			plain[i] = fmt.Sprint(e)
+		}
+		c.pairs[path] = strings.Join(plain, ",")
+	default:
+		c.pairs[path] = fmt.Sprint(v)
+	}
+}
+
 // config reads path=value pairs and keeps the first trouble met.
 type config struct {
 	pairs map[string]string
@@ -107,10 +181,10 @@
 
 var mustAsk = map[string]bool{"subscribe": true, "automatic": false}
 
-// parseSettings reads what decisions need; keys that it does not know are passed over. It also returns
-// the names of the values in a load report.
-func parseSettings(text string) (choice.Settings, []string, error) {
-	c := newConfig(text)
+// FromPairs reads lines of path=value. Keys that decisions do not need are passed over.
+func FromPairs(text string) (*Told, error) { return newConfig(text).read() }
+
+func (c *config) read() (*Told, error) {
 	s := choice.Settings{
 		Allocators:      int(c.number("balancers")),
 		Ordinal:         int(c.number("ordinal")),
@@ -156,5 +230,21 @@
 		}
 		s.Groups = append(s.Groups, g)
 	}
-	return s, c.list("report.fields"), c.err
+	t := &Told{Settings: s, Reports: c.list("report.fields")}
+	t.Kinds, t.Zones = c.optional("kinds"), c.optional("zones")
+	for i := range s.Groups {
+		t.Groups = append(t.Groups, c.pairs[fmt.Sprintf("request_classes.%d.name", i)])
+	}
+	if _, told := c.pairs["permissions.connect_timeout_ns"]; told {
+		t.ConnectTimeout = c.millis("permissions.connect_timeout_ns")
+	}
+	return t, c.err
+}
+
+// optional is a list that may be missing.
+func (c *config) optional(path string) []string {
+	if c.pairs[path] == "" {
+		return nil
+	}
+	return c.list(path)
 }
