Keep what stands on a node's books, so that its end is told when the node dies

Checked: a trace of connections and ends. Ruled out: owners' connections closed for want of room (all releases went over the workloads' own connections), and set-ups turned away (none logged). At fault: fromNode in internal/platform/nodes.go took the bind off its connection before it was marked as placed, and so also off the node's books.

--- a/internal/platform/journal.go
+++ b/internal/platform/journal.go
@@ -131,6 +131,7 @@
 	if cached {
 		kind = choice.Cached
 	}
+	p.log.Debug("list", "kind", kind, "nodes", fmt.Sprint(e.Hosts.Endpoints))
 	p.engine.List(now, kind, nodes)
 	p.follow(now, e.Hosts.Endpoints, nodes, kind != choice.Changes)
 	return nil
--- a/internal/platform/nodes.go
+++ b/internal/platform/nodes.go
@@ -85,6 +85,7 @@
 		p.drop(now, c, "another connection is used")
 		return
 	}
+	p.log.Debug("connected to a node", "node", n.name, "address", n.addr, "holds", len(n.holds))
 	n.dialling, n.conn, n.fails, n.refused = nil, c, 0, 0
 	waiting := n.waiting
 	n.waiting = nil
@@ -96,6 +97,7 @@
 // nodeClosed takes the end of a connection to a node, or that there will be none. What was out there may have run.
 func (p *Platform) nodeClosed(now choice.Millis, c *conn, why string) {
 	n := c.node
+	p.log.Debug("connection to a node ended", "node", n.name, "stood", c.opened, "out", len(c.open), "holds", len(n.holds), "why", why)
 	if n.conn == c {
 		n.conn = nil
 	}
@@ -298,8 +300,8 @@
 			p.drop(now, c, "an answer without a description")
 			return
 		}
-		p.unbind(wl)
 		wl.answer, wl.placed, wl.stands = m.Description, true, now
+		p.unbind(wl) // it stays on the node's books, as it stands there now
 		p.engine.Confirmed(now, wl.id, wl.bind, load)
 		load = nil
 	case m.Verb == wire.Finish && (wl.out || wl.placed):
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -359,6 +359,7 @@
 		return // its owner has been told, or was the one to end it
 	}
 	p.Counts.Released++
+	p.log.Debug("over", "tag", wl.tag, "cause", uint8(cause), "by_its_connection", p.conns[wl.from] != nil)
 	p.tellOwner(wl, wire.Message{Verb: wire.Finish, Tag: wl.tag}.With(cause))
 }
 
--- /dev/null
+++ b/internal/platform/platform_test.go
@@ -0,0 +1,189 @@
+package platform
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"grebeglade/choice"
+	"grebeglade/internal/link"
+	"grebeglade/internal/platform/wire"
+)
+
+func TestAWorkloadGoesFromItsOwnerToANodeAndBack(t *testing.T) {
+	r := newRig(t)
+	r.says(r.owner, ask(7))
+	require.Equal(t, []string{"START"}, r.heard(r.node, 7))
+	r.says(r.node, started(7))
+	r.says(r.node, finish(7, wire.Well))
+	assert.Equal(t, []string{"STARTED", "FINISH 16"}, r.heard(r.owner, 7))
+	assert.Empty(t, r.wls)
+	assert.Empty(t, r.tags)
+	assert.Zero(t, r.pending)
+}
+
+func TestWhatStandsIsReleasedWhenItsNodeIsNoMore(t *testing.T) {
+	for name, end := range map[string]func(r *rig){
+		"nobody listens": func(r *rig) {
+			r.Closed(r.at, r.node, "reset")
+			for range 8 {
+				r.pass(300)
+				r.Closed(r.at, r.w.to(nodeAddr), link.Refused)
+			}
+		},
+		"the list says gone": func(r *rig) {
+			r.Closed(r.at, r.node, "reset")
+			r.Received(r.at, r.w.to(journalAddr), &wire.News{Events: []wire.Event{{ID: 2, Data: listOf(2, "Gone", 0)}}})
+		},
+		"the list says that it has started anew": func(r *rig) {
+			r.pass(100)
+			news := &wire.News{Events: []wire.Event{{ID: 2, Data: listOf(2, "Ready", float64(r.wall()))}}}
+			r.Received(r.at, r.w.to(journalAddr), news)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t)
+			r.says(r.owner, ask(7))
+			r.says(r.node, started(7))
+			end(r)
+			assert.Equal(t, []string{"STARTED", "FINISH 41"}, r.heard(r.owner, 7))
+		})
+	}
+}
+
+func TestAReleaseWithoutItsConnectionGoesOverAnother(t *testing.T) {
+	r := newRig(t)
+	r.says(r.owner, ask(7))
+	r.says(r.node, started(7))
+	r.Closed(r.at, r.owner, "closed")
+	r.says(r.node, finish(7, wire.Well))
+	r.Opened(r.at, 2000)
+	r.says(2000, ask(8))
+	assert.Equal(t, []string{"FINISH 16"}, r.heard(2000, 7))
+}
+
+func TestWhatNoOwnerWouldSendIsAnsweredAndGoesNoFurther(t *testing.T) {
+	for name, m := range map[string]*wire.Message{
+		"a class that is not known": ask(7, "class", "none"),
+		"no number":                 ask(7, "extras", "cores:NaN;memory:2;service:07"),
+		"below zero":                ask(7, "extras", "cores:-1;memory:2;service:07"),
+		"larger than any node":      ask(7, "extras", "cores:1e9;memory:2;service:07"),
+		"no figures":                ask(7, "extras", ""),
+		"a wait without end":        ask(7, "left", "1e300"),
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t)
+			r.says(r.owner, m)
+			assert.Equal(t, []string{"FINISH 88"}, r.heard(r.owner, 7))
+			assert.Empty(t, r.heard(r.node, 7))
+			assert.True(t, r.w.closed[r.owner])
+		})
+	}
+}
+
+func TestATagOfAnotherSetUpTouchesNothing(t *testing.T) {
+	r := newRig(t)
+	r.says(r.owner, ask(7))
+	r.Opened(r.at, 2000)
+	r.says(2000, ask(7))
+	r.says(2000, finish(7, wire.Well))
+	assert.Equal(t, []string{"FINISH 88"}, r.heard(2000, 7))
+	r.says(r.node, started(7))
+	assert.Equal(t, []string{"STARTED"}, r.heard(r.owner, 7))
+}
+
+func TestAConnectionWithoutAWordIsEnded(t *testing.T) {
+	r := newRig(t)
+	r.pass(muteFor + 100)
+	assert.True(t, r.w.closed[r.owner])
+}
+
+func TestConnectionsThatNeverSpokeGiveWayFirst(t *testing.T) {
+	r := newRig(t)
+	r.says(r.owner, ask(7))
+	for c := link.ConnID(2000); c < 2100; c++ {
+		r.Opened(r.at, c)
+	}
+	assert.False(t, r.w.closed[r.owner])
+	assert.True(t, r.w.closed[2000])
+	assert.LessOrEqual(t, r.owners, r.mostOwners())
+}
+
+func TestWhatWasOutOnABrokenConnectionGoesOnByItsGroup(t *testing.T) {
+	r := newRig(t)
+	r.says(r.owner, ask(7, "class", "trace"))
+	r.Closed(r.at, r.node, "reset")
+	assert.Equal(t, []string{"FINISH 41"}, r.heard(r.owner, 7), "it may have run, and must run once")
+
+	r = newRig(t)
+	r.says(r.owner, ask(8))
+	r.Closed(r.at, r.node, "reset")
+	r.pass(2500)
+	assert.Equal(t, []string{"FINISH 34"}, r.heard(r.owner, 8), "asking again does no harm")
+}
+
+func TestASetUpThatIsTakenBackIsGivenUpAtItsNodeAndNotAnswered(t *testing.T) {
+	r := newRig(t)
+	r.says(r.owner, ask(7))
+	r.says(r.owner, finish(7, wire.Well))
+	r.says(r.node, started(7))
+	assert.Equal(t, []string{"START", "FINISH 16"}, r.heard(r.node, 7))
+	assert.Empty(t, r.heard(r.owner, 7))
+	assert.Empty(t, r.wls)
+}
+
+func TestABindDoesNotFollowOneThatASilentConnectionSwallowed(t *testing.T) {
+	r := newRig(t)
+	r.pass(50)
+	r.says(r.owner, ask(7))
+	r.pass(1500)
+	require.Contains(t, r.heard(r.node, 7), "FINISH 16", "it timed out")
+	assert.Greater(t, r.w.to(nodeAddr), r.node)
+	r.says(r.owner, ask(8))
+	assert.Empty(t, r.heard(r.node, 8))
+}
+
+func TestStoppingFailsTestsAndAnswersWhatIsPending(t *testing.T) {
+	r := newRig(t)
+	r.says(r.owner, ask(7))
+	r.Stop(r.at)
+	r.says(r.owner, wire.Message{Verb: wire.Echo, Tag: 1}.With(wire.Failed))
+	last := r.w.sent[r.owner][0].(*wire.Message)
+	assert.Equal(t, wire.Echoed, last.Verb)
+	assert.Equal(t, wire.Failed, last.Cause)
+	r.pass(drainFor + 50)
+	assert.False(t, r.Stopped(r.at))
+	r.says(r.owner, ask(8))
+	assert.Equal(t, []string{"FINISH 34"}, r.heard(r.owner, 8))
+	r.says(r.node, started(7))
+	assert.True(t, r.Stopped(r.at))
+}
+
+func TestTheJournalIsFollowedOverBreaksSilenceAndNewAddresses(t *testing.T) {
+	r := newRig(t)
+	first := r.w.to(journalAddr)
+	assert.Equal(t, []any{wire.Follow{Host: journalAddr, After: 1}}, r.w.sent[first])
+	r.Received(r.at, first, &wire.News{Events: []wire.Event{{ID: 2, Data: listOf(2, "Terminating", 0)}}})
+	r.Closed(r.at, first, "reset")
+	r.pass(200)
+	second := r.w.to(journalAddr)
+	r.Opened(r.at, second)
+	assert.Equal(t, []any{wire.Follow{Host: journalAddr, After: 2}}, r.w.sent[second])
+	r.Received(r.at, second, &wire.News{Events: []wire.Event{{ID: 1, Data: listOf(1, "Ready", 0)}}})
+	assert.Equal(t, choice.Draining, r.byName["s-01"].entry.State, "what was told before is passed over")
+	r.pass(newsWithin + 200)
+	third := r.w.to(journalAddr)
+	assert.Greater(t, third, second, "it was silent")
+	r.Reload(r.at, "127.0.0.7:7070")
+	assert.True(t, r.w.closed[third])
+	assert.NotZero(t, r.w.to("127.0.0.7:7070"))
+}
+
+func TestWhatStandsAlreadyIsTakenOverAndItsEndTold(t *testing.T) {
+	r := newRig(t)
+	r.says(r.owner, ask(7, "extras", "cores:1;memory:2;service:07;at:s-01"))
+	assert.Empty(t, r.heard(r.owner, 7))
+	r.says(r.node, finish(7, wire.Well))
+	assert.Equal(t, []string{"FINISH 16"}, r.heard(r.owner, 7))
+}
