--- a/choice/choice.go
+++ b/choice/choice.go
@@ -17,12 +17,12 @@
 
 const (
 	loadCap      = 0.8          // share of cores; the design's start, for groups that tell nothing of crowding
-	capFade      = 0.5          // share of the way from full service to none that a crowded machine may go
-	memoryCap    = 0.9          // share of memory in use; leaves a tenth for growth after a start
+	capFade      = 0.9          // share of the way from full service to none that a crowded machine may go
+	memoryCap    = 0.97         // share of memory in use; the reports' noise must not hide a machine that evicts
 	tieBand      = 0.05         // share of cores; the design's: finer than the reports' noise
-	moveWindow   = Millis(10e3) // ms; the design's start: shorter hotspots pass by themselves
-	movePause    = Millis(3e3)  // ms between moves off one machine: reports must show the last one first
-	moveReports  = 3            // reports; fewer within the window are no evidence
+	moveWindow   = Millis(1500) // ms; begun at 10 s: residents of a hotspot lose it all meanwhile
+	movePause    = Millis(500)  // ms between moves off one machine: reports must show the last one first
+	moveReports  = 2            // reports; fewer within the window are no evidence
 	listLag      = Millis(750)  // ms that an entry's room is behind when it comes: reports and the list's own
 	listSpan     = Millis(2e3)  // ms within which a change of room has shown in the list, if it ever will
 	reportLag    = Millis(700)  // ms that a report is behind: its refresh and its way here
@@ -127,6 +127,7 @@
 type group struct {
 	utility    float64
 	cap        float64 // of ρ
+	calm       float64 // ρ up to which it is served in full
 	asks       []ask   // last ones, rejected or not
 	target     Millis
 	effect     Effect
@@ -186,12 +187,12 @@
 	over := min(a.allocators, reserveMost)
 	a.reserveFor, a.reserveTimes = reserveFor*Millis(over), a.allocators/over
 	for _, g := range s.Groups {
-		limit := loadCap
+		limit, calm := loadCap, loadCap
 		if g.Calm > 0 {
-			limit = min(1, g.Calm+capFade*g.Fade)
+			limit, calm = min(1, g.Calm+capFade*g.Fade), g.Calm
 		}
 		a.groups = append(a.groups, group{
-			utility: g.Utility, cap: limit, target: g.Target, effect: g.Effect, scope: g.DedupScope,
+			utility: g.Utility, cap: limit, calm: calm, target: g.Target, effect: g.Effect, scope: g.DedupScope,
 			window: g.DedupWindow, spread: g.Spread, spreadMost: g.SpreadMost, kind: g.Kind,
 		})
 	}
@@ -569,6 +570,11 @@
 			others = append(others, o)
 		}
 	}
+	// Where the service is crowded on some of its machines, the calm ones among them take what comes.
+	crowded := func(o option) bool { return o.load > wl.group.calm }
+	if calm := slices.DeleteFunc(slices.Clone(running), crowded); len(calm) > 0 {
+		running = calm
+	}
 	options := running
 	if len(options) == 0 {
 		options = others
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -33,6 +33,21 @@
 	assert.Equal(t, NodeID(2), a.pick(0, wl).ID)
 }
 
+func TestCalmMachinesOfAServiceComeBeforeCrowdedOnesAndThoseBeforeOthers(t *testing.T) {
+	a := fleet(t, 3)
+	a.groups[0].calm, a.groups[0].cap = 0.6, 0.9
+	wl := newAsk(a, 0, 1, 1)
+	for id, used := range map[NodeID]float64{1: 2, 2: 7, 3: 4} {
+		heard(a, 0, id, used)
+	}
+	a.hold(0, wl, a.known[2]).running = true
+	assert.Equal(t, NodeID(2), a.pick(0, wl).ID, "crowded, but the program is there")
+	a.hold(0, wl, a.known[3]).running = true
+	for range 20 {
+		assert.Equal(t, NodeID(3), a.pick(0, wl).ID)
+	}
+}
+
 func TestFeasibleKeepsTheCapAndTheRoomOfBothAsks(t *testing.T) {
 	for name, c := range map[string]struct {
 		cores, memory, used float64
@@ -316,15 +331,15 @@
 		b := a.hold(0, newAsk(a, 0, 1, 1), n)
 		b.running, b.used, b.wl.ID = true, used, WorkloadID(i)
 	}
-	n.reports = []report{{at: 0, used: 9}, {at: 5e3, used: 9}, {at: 10e3, used: 9}}
-	heard(a, 9e3, 2, 1)
-	require.NotNil(t, a.victim(10e3, n))
-	assert.Equal(t, WorkloadID(1), a.victim(10e3, n).wl.ID)
-	assert.Nil(t, a.victim(9e3, n), "not a window long")
+	n.reports = []report{{at: 0, used: 9}, {at: moveWindow / 2, used: 9}, {at: moveWindow, used: 9}}
+	heard(a, moveWindow-1, 2, 1)
+	require.NotNil(t, a.victim(moveWindow, n))
+	assert.Equal(t, WorkloadID(1), a.victim(moveWindow, n).wl.ID)
+	assert.Nil(t, a.victim(moveWindow-1, n), "not a window long")
 	n.reports[1].used = 5
-	assert.Nil(t, a.victim(10e3, n), "calm in between")
+	assert.Nil(t, a.victim(moveWindow, n), "calm in between")
 	n.reports[1].used = 9
-	assert.Nil(t, a.victim(14e3, n), "no evidence that it is still hot")
+	assert.Nil(t, a.victim(moveWindow+4e3, n), "no evidence that it is still hot")
 }
 
 func TestReportsSpanTheMoveWindowHoweverThickTheyCome(t *testing.T) {
