Count what owners take back as no failed contact of the machine

A bind that its owner took back ended as 'may have run' and so as a failed contact: fifty of them barred a machine (the test shows it without the change). Changed: after() in choice/choice.go counts it only where the owner still wants the workload. Machines also count as failed for errors that they answer to bad requests; that is most of what still bars them there, and open.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -319,7 +319,12 @@
 		case NotSent:
 			wl.binds = a.maxBinds
 		default:
-			n.miss(now)
+			// What its owner took back says nothing of the machine: owners that take back hundreds at once had
+			// machines barred for seconds. It could hide a hung machine whose owners give up early; a bind that
+			// is unanswered for long bars it all the same.
+			if !wl.over {
+				n.miss(now)
+			}
 			if wl.maybe == nil {
 				wl.maybe = b
 			}
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -143,6 +143,17 @@
 	assert.Empty(t, a.known[2].ours)
 }
 
+func TestWhatOwnersTakeBackBarsNoMachine(t *testing.T) {
+	a := fleet(t, 3)
+	for id := range WorkloadID(50) {
+		s := a.Place(0, Workload{ID: id, Service: ServiceID(id), Cores: 0.1, Memory: 0.1, Left: 6000})
+		require.Equal(t, Bind, s.Kind)
+		s = s.Next(1, Result{Kind: Withdrawn, Over: true})
+		assert.Equal(t, Done, s.Next(1, Result{Kind: Unclear, Over: true}).Kind)
+	}
+	assert.Empty(t, a.barred(2))
+}
+
 func TestAnswerComesBeforeThePendingTimeout(t *testing.T) {
 	a := fleet(t, 2)
 	s := a.Place(0, Workload{Group: runOnce, Cores: 1, Memory: 1, Left: 3000})
