--- a/choice/choice.go
+++ b/choice/choice.go
@@ -17,8 +17,8 @@
 
 const (
 	loadCap      = 0.8          // share of cores; the design's start, for groups that tell nothing of crowding
-	capFade      = 0.9          // share of the way from full service to none that a crowded machine may go
-	memoryCap    = 0.97         // share of memory in use; the reports' noise must not hide a machine that evicts
+	capFade      = 0.5          // share of the way from full service to none that a crowded machine may go
+	memoryCap    = 0.9          // share of memory in use; leaves a tenth for growth after a start
 	tieBand      = 0.05         // share of cores; the design's: finer than the reports' noise
 	moveWindow   = Millis(1500) // ms; begun at 10 s: residents of a hotspot lose it all meanwhile
 	movePause    = Millis(500)  // ms between moves off one machine: reports must show the last one first
