--- a/internal/platform/nodes.go
+++ b/internal/platform/nodes.go
@@ -30,6 +30,7 @@
 	fails     int
 	refused   choice.Millis // since when nobody listens, or 0
 	redialing bool
+	unsent    []wire.Tag                      // releases that wait for a connection
 	holds     map[choice.WorkloadID]*workload // out or standing there
 }
 
@@ -92,6 +93,10 @@
 	for _, call := range waiting {
 		call(c)
 	}
+	for _, t := range n.unsent {
+		p.net.Send(c.id, wire.Message{Verb: wire.Finish, Tag: t}.With(wire.Well))
+	}
+	n.unsent = nil
 }
 
 // nodeClosed takes the end of a connection to a node, or that there will be none. What was out there may have run.
@@ -264,9 +269,14 @@
 	if c == nil || p.conns[c.id] != c {
 		c = wl.node.conn
 	}
-	if c != nil {
-		p.net.Send(c.id, wire.Message{Verb: wire.Finish, Tag: wl.tag}.With(wire.Well))
+	if c == nil {
+		if n := wl.node; len(n.unsent) < keepOver {
+			n.unsent = append(n.unsent, wl.tag)
+		}
+		p.connect(p.now, wl.node)
+		return
 	}
+	p.net.Send(c.id, wire.Message{Verb: wire.Finish, Tag: wl.tag}.With(wire.Well))
 }
 
 var noteKinds = map[string]choice.NoteKind{"up": choice.Running, "cpu": choice.CoresUsed}
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -187,3 +187,49 @@
 	r.says(r.node, finish(7, wire.Well))
 	assert.Equal(t, []string{"FINISH 16"}, r.heard(r.owner, 7))
 }
+
+func TestAReleaseReachesANodeThatWasNotConnected(t *testing.T) {
+	r := newRig(t)
+	r.says(r.owner, ask(7))
+	r.says(r.node, started(7))
+	r.Closed(r.at, r.node, "reset")
+	r.says(r.owner, finish(7, wire.Well))
+	r.pass(200)
+	again := r.w.to(nodeAddr)
+	require.Greater(t, again, r.node)
+	r.Opened(r.at, again)
+	assert.Equal(t, []string{"FINISH 16"}, r.heard(again, 7))
+}
+
+func TestAllTablesAreBackAtRestAfterManyWorkloadsAndConnections(t *testing.T) {
+	r := newRig(t)
+	r.says(r.owner, finish(1, wire.Well)) // it spoke, so it stays
+	for i := range 3000 {
+		tag, c := wire.Tag(10+i), link.ConnID(10000+i)
+		r.Opened(r.at, c)
+		r.says(c, ask(tag))
+		switch i % 4 {
+		case 0:
+			r.says(r.w.to(nodeAddr), started(tag))
+			r.says(r.w.to(nodeAddr), finish(tag, wire.Well))
+		case 1:
+			r.says(r.w.to(nodeAddr), finish(tag, wire.Full))
+		case 2:
+			r.says(c, finish(tag, wire.Well))
+		}
+		r.Closed(r.at, c, "closed")
+		r.pass(20)
+	}
+	r.pass(70e3)
+	assert.Empty(t, r.wls)
+	assert.Empty(t, r.tags)
+	assert.Empty(t, r.probes)
+	assert.Empty(t, r.over)
+	assert.Zero(t, r.pending)
+	assert.LessOrEqual(t, len(r.conns), 3)
+	assert.LessOrEqual(t, r.timers.Len(), 10)
+	for _, n := range r.nodes {
+		assert.Empty(t, n.holds)
+		assert.Empty(t, n.unsent)
+	}
+}
