End the earlier of two equally silent connections, not one by chance

Seen: the test of owners' connections that give way failed in one run of a few: of those heard of at the same time one was taken in the order of a map. At fault: makeRoom() in internal/platform/owners.go. Now the one that came first goes; 60 runs of the package's tests pass.

--- a/internal/platform/owners.go
+++ b/internal/platform/owners.go
@@ -35,7 +35,8 @@
 	for _, c := range p.conns {
 		switch {
 		case c.node != nil || c == latest || len(c.open) > 0:
-		case least == latest, least.spoke && !c.spoke, least.spoke == c.spoke && c.heard < least.heard:
+		case least == latest, least.spoke && !c.spoke, least.spoke == c.spoke &&
+			(c.heard < least.heard || c.heard == least.heard && c.id < least.id):
 			least = c
 		}
 	}
