Draw jitter in one place, and drop what the platform's party no longer uses

Read again: the party had a generator of chance of its own beside the port's fnv over seed and counter, two functions that order a table by id, a field and a group that nothing read, and a block of one constant. Now schedule.Jitter serves port and platform alike (the port's draws are the same as before; the platform's pauses vary by other draws of the same range), inOrder serves both tables. No assertion changed; tests of platform, port, schedule and command pass.

--- a/internal/platform/journal.go
+++ b/internal/platform/journal.go
@@ -187,20 +187,10 @@
 	if !whole {
 		return
 	}
-	for _, n := range p.sorted() {
+	for _, n := range inOrder(p.nodes) {
 		if n.listed && !listed[n.id] {
 			n.entry.State = choice.Gone
 			p.dead(now, n)
 		}
 	}
 }
-
-// sorted returns the nodes in the order of their ids.
-func (p *Platform) sorted() []*node {
-	all := make([]*node, 0, len(p.nodes))
-	for _, n := range p.nodes {
-		all = append(all, n)
-	}
-	slices.SortFunc(all, func(x, y *node) int { return int(int64(x.id) - int64(y.id)) })
-	return all
-}
--- a/internal/platform/owners.go
+++ b/internal/platform/owners.go
@@ -115,7 +115,7 @@
 	p.lastID++
 	w.ID = p.lastID
 	wl := &workload{
-		id: w.ID, tag: m.Tag, group: w.Group, class: m.Fields[wire.Group], key: m.Fields[wire.Key],
+		id: w.ID, tag: m.Tag, class: m.Fields[wire.Group], key: m.Fields[wire.Key],
 		asked: m.Description, from: c.id,
 	}
 	p.wls[w.ID], p.tags[m.Tag] = wl, wl
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -4,7 +4,9 @@
 package platform
 
 import (
+	"cmp"
 	"log/slog"
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -13,6 +15,7 @@
 	"grebeglade/internal/allocator"
 	"grebeglade/internal/link"
 	"grebeglade/internal/platform/wire"
+	"grebeglade/internal/schedule"
 )
 
 // What the platform's protocol states, or leaves to both sides to bear.
@@ -26,15 +29,13 @@
 	heldPerMB   = 64                  // workloads held for each MB of memory: a few KB each, with their descriptions
 )
 
-// Shares of the descriptors. What is left is for the listener, the event loops, the journal service and dials.
-const (
-	ownersShare = 0.5 // owners keep to a third; the rest is for those that do not
-)
+// ownersShare is the share of the descriptors for owners' connections: owners keep to a third, the rest is for those that
+// do not. What is left is for nodes, the journal service, the listener and the event loops.
+const ownersShare = 0.5
 
 type workload struct {
 	id     choice.WorkloadID
 	tag    wire.Tag
-	group  choice.GroupID
 	class  string
 	key    string
 	asked  *string // description of the set-up
@@ -95,7 +96,6 @@
 	stopping bool
 	stopAt   choice.Millis
 	draws    uint64
-	lost     bool // what ends now has been lost with its node
 
 	Counts Counts
 }
@@ -266,13 +266,12 @@
 	p.closed(now, c.id, why)
 }
 
-// inOrder returns the workloads of a set in the order of their ids.
-func inOrder(set map[choice.WorkloadID]*workload) []*workload {
-	all := make([]*workload, 0, len(set))
-	for _, wl := range set {
-		all = append(all, wl)
+// inOrder returns what a table holds in the order of its ids.
+func inOrder[K cmp.Ordered, V any](table map[K]V) []V {
+	all := make([]V, 0, len(table))
+	for _, id := range slices.Sorted(maps.Keys(table)) {
+		all = append(all, table[id])
 	}
-	slices.SortFunc(all, func(x, y *workload) int { return int(int64(x.id) - int64(y.id)) })
 	return all
 }
 
@@ -385,8 +384,8 @@
 
 // jitter is a quarter more or less than d, by chance.
 func (p *Platform) jitter(d choice.Millis) choice.Millis {
-	p.draws = p.draws*6364136223846793005 + p.c.Seed | 1
-	return d * choice.Millis(0.75+float64(p.draws>>33%1000)/2000)
+	p.draws++
+	return schedule.Jitter(d, p.c.Seed, p.draws)
 }
 
 // backoff is a pause that doubles with each failure in a row.
--- a/internal/port/port.go
+++ b/internal/port/port.go
@@ -7,9 +7,7 @@
 
 import (
 	"cmp"
-	"encoding/binary"
 	"fmt"
-	"hash/fnv"
 	"log/slog"
 	"math"
 	"slices"
@@ -21,6 +19,7 @@
 	"grebeglade/internal/record"
 	"grebeglade/internal/recovery"
 	"grebeglade/internal/replay"
+	"grebeglade/internal/schedule"
 	pb "grebeglade/proto/grebeglade/v1"
 	"grebeglade/trace/tracepb"
 )
@@ -603,12 +602,7 @@
 // jitter is a quarter more or less than d, by chance.
 func (p *Port) jitter(d choice.Millis) choice.Millis {
 	p.draws++
-	h := fnv.New64a()
-	var b [16]byte
-	binary.BigEndian.PutUint64(b[:], p.c.Seed)
-	binary.BigEndian.PutUint64(b[8:], p.draws)
-	h.Write(b[:])
-	return d * choice.Millis(0.75+float64(h.Sum64()>>11%1000)/2000)
+	return schedule.Jitter(d, p.c.Seed, p.draws)
 }
 
 // world is the port as the engine sees it.
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -2,7 +2,22 @@
 // added. Times are milliseconds.
 package schedule
 
-import "grebeglade/choice"
+import (
+	"encoding/binary"
+	"hash/fnv"
+
+	"grebeglade/choice"
+)
+
+// Jitter is a quarter more or less than d, by the chance of that draw.
+func Jitter(d choice.Millis, seed, draw uint64) choice.Millis {
+	h := fnv.New64a()
+	var b [16]byte
+	binary.BigEndian.PutUint64(b[:], seed)
+	binary.BigEndian.PutUint64(b[8:], draw)
+	h.Write(b[:])
+	return d * choice.Millis(0.75+float64(h.Sum64()>>11%1000)/2000)
+}
 
 // Queue is empty at first.
 type Queue[T any] struct {
