--- a/internal/command/platform.go
+++ b/internal/command/platform.go
@@ -20,8 +20,10 @@
 )
 
 const (
-	heapShare = 0.5                   // of the process's memory, for Go's heap: its code and the sockets need the rest
-	lookEvery = 20 * time.Millisecond // while it waits for the last answers
+	heapShare = 0.5                    // of the process's memory, for Go's heap: its code and the sockets need the rest
+	lookEvery = 20 * time.Millisecond  // while it waits for the last answers
+	readEvery = 100 * time.Millisecond // between looks at a configuration that cannot be read
+	readMost  = 10                     // looks; what a new configuration brings counts as told 4 s after its signal
 )
 
 func platformCommand() *cobra.Command {
@@ -34,6 +36,10 @@
 			"SIGTERM answers what is pending and leaves; what it placed runs on.",
 		Args: cobra.NoArgs,
 		RunE: func(c *cobra.Command, _ []string) error {
+			// A reload that comes before all is up must not end the process.
+			reload := make(chan os.Signal, 1)
+			signal.Notify(reload, syscall.SIGHUP)
+			defer signal.Stop(reload)
 			file := os.Getenv("NODE_CONFIG")
 			if file == "" {
 				return fmt.Errorf("NODE_CONFIG is not set; give the path of the platform's configuration")
@@ -49,43 +55,55 @@
 			log := slog.New(slog.NewTextHandler(c.ErrOrStderr(), &slog.HandlerOptions{Level: level}))
 			runtime.GOMAXPROCS(max(1, int(math.Floor(conf.Limits.Cores))))
 			debug.SetMemoryLimit(int64(heapShare * float64(conf.Limits.MemoryMB) * (1 << 20)))
-			return servePlatform(c, conf, file, log)
+			return servePlatform(c, conf, file, reload, log)
 		},
 	}
 	c.Flags().BoolVar(&verbose, "verbose", false, "log each thing that is not taken")
 	return c
 }
 
-func servePlatform(c *cobra.Command, conf *platform.Config, file string, log *slog.Logger) error {
-	reload := make(chan os.Signal, 1)
-	signal.Notify(reload, syscall.SIGHUP)
-	defer signal.Stop(reload)
+func servePlatform(c *cobra.Command, conf *platform.Config, file string, reload <-chan os.Signal, log *slog.Logger) error {
 	p := platform.New(conf, log)
 	loop := link.NewLoop(nil)
 	if _, err := loop.Serve(p, func() link.Form { return wire.Lines{} }, conf.Listen, p.Limits()); err != nil {
 		return failure{err}
 	}
 	loop.Run()
+	defer loop.Close()
 	log.Info("serving", "allocator", conf.Name, "listen", conf.Listen, "journal", conf.Journal)
-	for stopping := false; !stopping; {
+	stop := c.Context().Done()
+	var look, again <-chan time.Time // while it waits for the last answers; when the configuration is to be read once more
+	tries := 0
+	for {
 		select {
 		case <-reload:
-			again, err := platform.ReadConfig(file, conf.Listen)
-			if err != nil {
+			tries, again = 0, time.After(0)
+		case <-again:
+			// The file may be in the middle of being written, so it is read a few times.
+			if conf, err := platform.ReadConfig(file, conf.Listen); err == nil {
+				again = nil
+				loop.Ask(p, func(now choice.Millis) { p.Reload(now, conf.Journal) })
+			} else if tries++; tries < readMost {
+				again = time.After(readEvery)
+			} else {
+				again = nil
 				log.Error("the configuration stays as it was", "err", err)
-				continue
 			}
-			loop.Ask(p, func(now choice.Millis) { p.Reload(now, again.Journal) })
-		case <-c.Context().Done():
-			stopping = true
+		case <-stop:
+			stop = nil
+			loop.Ask(p, p.Stop)
+			ticker := time.NewTicker(lookEvery)
+			defer ticker.Stop()
+			look = ticker.C
+		case <-look:
+			stopped := false
+			loop.Ask(p, func(now choice.Millis) { stopped = p.Stopped(now) })
+			if stopped {
+				log.Info("stopped", "counts", fmt.Sprintf("%+v", p.Counts))
+				return nil
+			}
+		case err := <-loop.Failed():
+			return failure{err}
 		}
 	}
-	loop.Ask(p, p.Stop)
-	for stopped := false; !stopped; {
-		time.Sleep(lookEvery)
-		loop.Ask(p, func(now choice.Millis) { stopped = p.Stopped(now) })
-	}
-	loop.Close()
-	log.Info("stopped", "counts", fmt.Sprintf("%+v", p.Counts))
-	return nil
 }
--- a/internal/command/platform_test.go
+++ b/internal/command/platform_test.go
@@ -57,8 +57,9 @@
 	return s.Listener.Addr().String(), followed
 }
 
-// nodeThatAccepts is a stand-in that takes whatever it is offered.
-func nodeThatAccepts(t *testing.T) string {
+// nodeThatAccepts is a stand-in that takes whatever it is offered, once it may: the answer to each set-up waits until
+// something comes from may, which never holds back where it is nil. Set-ups are told on asked, unless that is nil.
+func nodeThatAccepts(t *testing.T, asked chan<- wire.Tag, may <-chan struct{}) string {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	t.Cleanup(func() { l.Close() })
@@ -68,102 +69,253 @@
 			if err != nil {
 				return
 			}
-			go func() {
-				defer c.Close()
-				var b []byte
-				part := make([]byte, 4096)
-				for {
-					n, err := c.Read(part)
-					b = append(b, part[:n]...)
-					for {
-						m, used, err := wire.Binary{}.Cut(b)
-						if err != nil || used == 0 {
-							break
-						}
-						b = b[used:]
-						if m := m.(*wire.Message); m.Verb == wire.Start {
-							text := "taken by a node"
-							out, err := wire.Binary{}.Append(nil, &wire.Message{Verb: wire.Started, Tag: m.Tag, Description: &text})
-							if err != nil {
-								return
-							}
-							if _, err := c.Write(out); err != nil {
-								return
-							}
-						}
-					}
-					if err != nil {
-						return
-					}
-				}
-			}()
+			go acceptAll(c, asked, may)
 		}
 	}()
 	return l.Addr().String()
 }
 
-func writeConfig(t *testing.T, file, journal, node string) {
+func acceptAll(c net.Conn, asked chan<- wire.Tag, may <-chan struct{}) {
+	defer c.Close()
+	var b []byte
+	part := make([]byte, 4096)
+	for {
+		n, err := c.Read(part)
+		b = append(b, part[:n]...)
+		for {
+			m, used, err := wire.Binary{}.Cut(b)
+			if err != nil || used == 0 {
+				break
+			}
+			b = b[used:]
+			m1 := m.(*wire.Message)
+			if m1.Verb != wire.Start {
+				continue
+			}
+			if asked != nil {
+				asked <- m1.Tag
+			}
+			if may != nil {
+				<-may
+			}
+			text := "taken by a node"
+			out, err := wire.Binary{}.Append(nil, &wire.Message{Verb: wire.Started, Tag: m1.Tag, Description: &text})
+			if err != nil {
+				return
+			}
+			if _, err := c.Write(out); err != nil {
+				return
+			}
+		}
+		if err != nil {
+			return
+		}
+	}
+}
+
+func configOf(journal string, sockets int, nodes ...string) []byte {
+	var ends []string
+	for i, addr := range nodes {
+		ends = append(ends, fmt.Sprintf(`{"name":"s-%02d","address":%q,"zone":"z","type":"small","group":0,"status":"Ready","since_ms":0,`+
+			`"room":[20,40]}`, i, addr))
+	}
+	return fmt.Appendf(nil, `{"name":"one","listen":"127.0.0.1:0","seed":"05","journal":%q,
+"limits":{"cores":1,"memory_mb":64,"sockets":%d},"known":{"pos":1,"entries":[{"hosts":{"snapshot":true,"endpoints":[%s]}}]},
+"settings":%s}`, journal, sockets, strings.Join(ends, ","), platformSettings)
+}
+
+func writeConfig(t *testing.T, file, journal string, nodes ...string) {
 	t.Helper()
-	b := fmt.Sprintf(`{"name":"one","listen":"127.0.0.1:0","seed":"05","journal":%q,"limits":{"cores":1,"memory_mb":64,"sockets":256},
-"known":{"pos":1,"entries":[{"hosts":{"snapshot":true,"endpoints":[{"name":"s-01","address":%q,"zone":"z","type":"small","group":0,
-"status":"Ready","since_ms":0,"room":[20,40]}]}}]},"settings":%s}`, journal, node, platformSettings)
-	require.True(t, json.Valid([]byte(b)))
-	require.NoError(t, os.WriteFile(file, []byte(b), 0o600))
+	b := configOf(journal, 256, nodes...)
+	require.True(t, json.Valid(b))
+	require.NoError(t, os.WriteFile(file, b, 0o600))
 }
 
-func TestTheProcessServesTakesANewAddressAndLeaves(t *testing.T) {
-	first, followedFirst := journalService(t)
-	second, followedSecond := journalService(t)
-	node := nodeThatAccepts(t)
+// process is the program as the platform starts it.
+type process struct {
+	*exec.Cmd
+	addr, file string
+}
+
+// start starts the program, by a shell's line that ends in exec where one is given, and waits until it serves.
+func start(t *testing.T, file, line string) *process {
+	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0") // a free address
 	require.NoError(t, err)
-	addr := l.Addr().String()
+	p := &process{addr: l.Addr().String(), file: file, Cmd: exec.Command(os.Args[0])}
 	l.Close()
-	file := filepath.Join(t.TempDir(), "config.json")
-	writeConfig(t, file, first, node)
-
-	c := exec.Command(os.Args[0])
-	c.Env = append(os.Environ(), asProcess+"=platform", "NODE_CONFIG="+file, "NODE_LISTEN="+addr)
-	log, err := c.StderrPipe()
+	if line != "" {
+		p.Cmd = exec.Command("sh", "-c", line, os.Args[0])
+	}
+	p.Env = append(os.Environ(), asProcess+"=platform", "NODE_CONFIG="+file, "NODE_LISTEN="+p.addr)
+	log, err := p.StderrPipe()
 	require.NoError(t, err)
-	require.NoError(t, c.Start())
-	defer c.Process.Kill()
+	require.NoError(t, p.Start())
+	t.Cleanup(func() { p.Process.Kill() })
 	lines := bufio.NewReader(log)
-	line, err := lines.ReadString('\n')
+	said, err := lines.ReadString('\n')
 	require.NoError(t, err)
-	require.Contains(t, line, "serving")
+	require.Contains(t, said, "serving")
 	go io.Copy(io.Discard, lines)
-	assert.Equal(t, "1", <-followedFirst)
+	return p
+}
 
-	owner, err := net.Dial("tcp", addr)
+// owner is one connection to the program.
+type owner struct {
+	net.Conn
+	t       *testing.T
+	answers *bufio.Reader
+}
+
+func (p *process) owner(t *testing.T) *owner {
+	t.Helper()
+	c, err := net.Dial("tcp", p.addr)
 	require.NoError(t, err)
-	defer owner.Close()
-	answers := bufio.NewReader(owner)
-	says := func(line string) string {
-		_, err := io.WriteString(owner, line+"\n")
-		require.NoError(t, err)
-		got, err := answers.ReadString('\n')
-		require.NoError(t, err)
-		return strings.TrimSpace(got)
+	t.Cleanup(func() { c.Close() })
+	return &owner{c, t, bufio.NewReader(c)}
+}
+
+func (o *owner) says(text string) {
+	o.t.Helper()
+	_, err := io.WriteString(o, text)
+	require.NoError(o.t, err)
+}
+
+func (o *owner) hears() string {
+	o.t.Helper()
+	require.NoError(o.t, o.SetReadDeadline(time.Now().Add(20*time.Second)))
+	got, err := o.answers.ReadString('\n')
+	require.NoError(o.t, err)
+	return strings.TrimSpace(got)
+}
+
+func (p *process) signal(t *testing.T, s syscall.Signal) {
+	t.Helper()
+	require.NoError(t, p.Process.Signal(s))
+}
+
+// test is a test of the platform's, setUp a set-up of that number, and placed its answer.
+const test = `{"verb":"ECHO","tag":"0000000000000001","opts":{},"rc":0}` + "\n"
+
+func setUp(tag int) string {
+	return fmt.Sprintf(`{"verb":"START","tag":"%016x","opts":{"class":"tiles","left":"6000","key":"aa",`+
+		`"extras":"cores:1;memory:1;service:%x"},"blob":"what is asked"}`+"\n", tag, tag)
+}
+
+func placed(tag int) string {
+	return fmt.Sprintf(`{"verb":"STARTED","tag":"%016x","opts":{},"blob":"taken by a node"}`, tag)
+}
+
+// stopping waits until the program knows that it is to leave.
+func (o *owner) stopping() {
+	for got := ""; !strings.Contains(got, `"rc":0`); got = o.hears() {
+		o.says(test)
 	}
-	test := `{"verb":"ECHO","tag":"0000000000000001","opts":{},"rc":0}`
-	assert.JSONEq(t, `{"verb":"ECHOED","tag":"0000000000000001","opts":{},"rc":1}`, says(test))
-	assert.JSONEq(t, `{"verb":"STARTED","tag":"0000000000000002","opts":{},"blob":"taken by a node"}`, says(
-		`{"verb":"START","tag":"0000000000000002","opts":{"class":"tiles","left":"2000","key":"aa",`+
-			`"extras":"cores:1;memory:1;service:07"},"blob":"what is asked"}`))
+}
+
+func TestTheProcessServesTakesANewAddressAndLeaves(t *testing.T) {
+	first, followedFirst := journalService(t)
+	second, followedSecond := journalService(t)
+	node := nodeThatAccepts(t, nil, nil)
+	file := filepath.Join(t.TempDir(), "config.json")
+	writeConfig(t, file, first, node)
+	p := start(t, file, "")
+	assert.Equal(t, "1", <-followedFirst)
+	o := p.owner(t)
+	o.says(test)
+	assert.JSONEq(t, `{"verb":"ECHOED","tag":"0000000000000001","opts":{},"rc":1}`, o.hears())
+	o.says(setUp(2))
+	assert.JSONEq(t, placed(2), o.hears())
 
 	require.NoError(t, os.WriteFile(file, []byte("{"), 0o600))
-	require.NoError(t, c.Process.Signal(syscall.SIGHUP))
-	assert.JSONEq(t, `{"verb":"ECHOED","tag":"0000000000000001","opts":{},"rc":1}`, says(test), "it keeps what it had")
+	p.signal(t, syscall.SIGHUP)
+	o.says(test)
+	assert.JSONEq(t, `{"verb":"ECHOED","tag":"0000000000000001","opts":{},"rc":1}`, o.hears(), "it keeps what it had")
 	writeConfig(t, file, second, node)
-	require.NoError(t, c.Process.Signal(syscall.SIGHUP))
+	p.signal(t, syscall.SIGHUP)
 	assert.Equal(t, "1", <-followedSecond)
 
-	require.NoError(t, c.Process.Signal(syscall.SIGTERM))
-	for got := ""; !strings.Contains(got, `"rc":0`); {
-		got = says(test)
+	p.signal(t, syscall.SIGTERM)
+	o.stopping()
+	require.NoError(t, p.Wait(), "it leaves with 0")
+}
+
+// A new configuration of which half is there when the signal comes is read again: one signal is all that is sent. It
+// could harm nobody: what cannot be read changes nothing.
+func TestAConfigurationThatIsHalfWrittenIsReadAgain(t *testing.T) {
+	first, _ := journalService(t)
+	second, followedSecond := journalService(t)
+	file := filepath.Join(t.TempDir(), "config.json")
+	writeConfig(t, file, first)
+	p := start(t, file, "")
+	whole := configOf(second, 256)
+	require.NoError(t, os.WriteFile(file, whole[:len(whole)/2], 0o600))
+	p.signal(t, syscall.SIGHUP)
+	o := p.owner(t)
+	for range 3 {
+		o.says(test)
+		assert.Contains(t, o.hears(), `"rc":1`)
+	}
+	require.NoError(t, os.WriteFile(file, whole, 0o600))
+	select {
+	case <-followedSecond:
+	case <-time.After(20 * time.Second):
+		t.Fatal("the new journal service was not asked")
+	}
+}
+
+// A planned restart: what was taken before it, in part before it, or shortly after it is answered whole; a second signal
+// changes nothing, and a moved journal service is followed to the end.
+func TestARestartAnswersAllThatWasTaken(t *testing.T) {
+	first, _ := journalService(t)
+	second, followedSecond := journalService(t)
+	asked, may := make(chan wire.Tag, 10), make(chan struct{})
+	node := nodeThatAccepts(t, asked, may)
+	file := filepath.Join(t.TempDir(), "config.json")
+	writeConfig(t, file, first, node)
+	p := start(t, file, "")
+
+	waiting, half, late, watch := p.owner(t), p.owner(t), p.owner(t), p.owner(t)
+	waiting.says(setUp(2))
+	assert.Equal(t, wire.Tag(2), <-asked)
+	half.says(setUp(3)[:40])
+	p.signal(t, syscall.SIGTERM)
+	watch.stopping()
+	half.says(setUp(3)[40:])
+	late.says(setUp(4))
+	p.signal(t, syscall.SIGTERM)
+	writeConfig(t, file, second, node)
+	p.signal(t, syscall.SIGHUP)
+	<-followedSecond
+	close(may)
+	for tag, o := range map[int]*owner{2: waiting, 3: half, 4: late} {
+		assert.JSONEq(t, placed(tag), o.hears())
+	}
+	require.NoError(t, p.Wait())
+}
+
+// More nodes than descriptors, and clients that open connections by hundreds and say nothing: the journal service is
+// followed, every owner is accepted and served, and no descriptor is missed. It guards against an event loop that ends for
+// good when it cannot accept; it could harm owners that are silent for long, whose connections go first.
+func TestDescriptorsSufficeForAllThatIsNeeded(t *testing.T) {
+	journal, followed := journalService(t)
+	var nodes []string
+	for range 60 {
+		nodes = append(nodes, nodeThatAccepts(t, nil, nil))
+	}
+	file := filepath.Join(t.TempDir(), "config.json")
+	require.NoError(t, os.WriteFile(file, configOf(journal, 64, nodes...), 0o600))
+	p := start(t, file, `ulimit -n 64; exec "$0"`)
+	<-followed
+	for range 100 {
+		p.owner(t)
+	}
+	for tag := 2; tag < 102; tag++ {
+		o := p.owner(t)
+		o.says(setUp(tag))
+		assert.JSONEq(t, placed(tag), o.hears())
+		o.Close()
 	}
-	require.NoError(t, c.Wait(), "it leaves with 0")
 }
 
 func TestAWrongConfigurationIsNamedAndEndsTheStart(t *testing.T) {
--- a/internal/link/form.go
+++ b/internal/link/form.go
@@ -22,6 +22,10 @@
 	Append(b []byte, m any) ([]byte, error)
 }
 
+// Urgent marks a Form of dialled connections: what comes there is handed over ahead of all else that waits for the party,
+// and is read on while that is held back.
+type Urgent interface{ Urgent() }
+
 // Handler is a Party for messages of any form.
 type Handler interface {
 	Start(now choice.Millis, w Wire)
@@ -37,6 +41,8 @@
 	DialAs(addr string, f Form, within choice.Millis) ConnID
 	Send(c ConnID, m any)
 	Close(c ConnID)
+	// Ended tells whether a connection is no more, also where the party is yet to be told.
+	Ended(c ConnID) bool
 	WakeAt(t choice.Millis)
 	Now() choice.Millis
 }
--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -309,3 +309,219 @@
 		assert.Len(t, a.inbox, 1)
 	})
 }
+
+// heldParty stays in the handling of its first frame until it is let go, and notes whether the peers of
+// later ones had ended by then.
+type heldParty struct {
+	echo
+	busy, goOn chan struct{}
+	once       sync.Once
+	gone       []bool
+}
+
+func (h *heldParty) Received(now choice.Millis, c ConnID, f *pb.Frame) {
+	h.once.Do(func() { close(h.busy); <-h.goOn })
+	h.mu.Lock()
+	h.gone = append(h.gone, h.net.(frameNet).Ended(c))
+	h.mu.Unlock()
+	h.echo.Received(now, c, f)
+}
+
+func held(t *testing.T) (*Loop, *heldParty, string) {
+	t.Helper()
+	l, h := NewLoop(nil), &heldParty{busy: make(chan struct{}), goOn: make(chan struct{})}
+	addr, err := l.Listen(h, "127.0.0.1:0", DefaultLimits)
+	require.NoError(t, err)
+	l.Run()
+	t.Cleanup(l.Close)
+	return l, h, addr
+}
+
+// waits until so many items are there for the party.
+func (l *Loop) waitFor(t *testing.T, p Party, items int) {
+	t.Helper()
+	a := l.actors[p]
+	require.Eventually(t, func() bool {
+		a.mu.Lock()
+		defer a.mu.Unlock()
+		return len(a.inbox) >= items
+	}, 20*time.Second, time.Millisecond)
+}
+
+// What was read before a loop closes is answered, and the answer leaves: a process that goes away on a signal loses
+// nothing that it had taken. It guards against parties that end before their inbox and against event loops that end
+// before what was sent; it could harm where a party has far more to do than a closing may take.
+func TestWhatWasReadBeforeTheEndIsAnswered(t *testing.T) {
+	l, h, addr := held(t)
+	c := dial(t, addr)
+	write(t, c, sample())
+	<-h.busy
+	write(t, c, sample())
+	l.waitFor(t, h, 1)
+	closed := make(chan struct{})
+	go func() { l.Close(); close(closed) }()
+	<-l.actors[h].stop
+	close(h.goOn)
+	for range 2 {
+		f, err := read(t, c)
+		require.NoError(t, err)
+		assert.Equal(t, uint64(7), f.GetAnswer().Ask)
+	}
+	<-closed
+}
+
+// An answer of which the peer has read only the beginning when the loop closes still comes whole.
+func TestAnAnswerInTheBufferLeavesBeforeTheEnd(t *testing.T) {
+	l, e, addr := listen(t, Limits{Frame: 1 << 20, Waiting: 64 << 20, Connections: 10})
+	c := dial(t, addr)
+	require.NoError(t, c.(*net.TCPConn).SetReadBuffer(64<<10))
+	long := sample()
+	long.GetAsk().Key, long.GetAsk().Group = 100, string(make([]byte, 60000))
+	write(t, c, long)
+	e.sees(t, func() bool { return e.asks == 1 })
+	closed := make(chan struct{})
+	go func() { l.Close(); close(closed) }()
+	<-l.actors[e].stop
+	r := bufio.NewReader(c)
+	for i := range 100 {
+		_, err := read(t, r)
+		require.NoError(t, err, "answer %d", i)
+	}
+	<-closed
+}
+
+// A party can tell that the peer of a message has gone meanwhile, so that it begins nothing for it. It guards against work
+// for those who have left taking the place of work for those who wait.
+func TestAnEndIsKnownBeforeItsTurn(t *testing.T) {
+	l, h, addr := held(t)
+	c := dial(t, addr)
+	write(t, c, sample())
+	<-h.busy
+	write(t, c, sample())
+	l.waitFor(t, h, 1)
+	c.Close()
+	l.waitFor(t, h, 2)
+	close(h.goOn)
+	h.sees(t, func() bool { return len(h.closed) == 1 })
+	assert.Equal(t, []bool{true, true}, h.gone)
+}
+
+// A listener that ends by itself is told, so that the process does not go on and serve nobody.
+func TestAListenerThatEndsByItselfIsTold(t *testing.T) {
+	l, e, _ := listen(t, DefaultLimits)
+	l.actors[e].listener.Close()
+	assert.ErrorContains(t, <-l.Failed(), "listen on 127.0.0.1")
+}
+
+// urgentFrames are frames that go ahead of others.
+type urgentFrames struct{ frames }
+
+func (urgentFrames) Urgent() {}
+
+// order dials a peer whose frames go ahead, and notes in which order the keys of asks come.
+type order struct {
+	heldParty
+	peer string
+	keys []uint64
+}
+
+func (o *order) Start(now choice.Millis, n Net) {
+	o.heldParty.Start(now, n)
+	n.(frameNet).DialAs(o.peer, urgentFrames{frames{1000}}, 20000)
+}
+
+func (o *order) Received(now choice.Millis, c ConnID, f *pb.Frame) {
+	o.mu.Lock()
+	o.keys = append(o.keys, f.GetAsk().Key)
+	o.mu.Unlock()
+	o.once.Do(func() { close(o.busy); <-o.goOn })
+}
+
+// What comes in an urgent form is handled before what waited longer, and is read although the inbox is full. It guards
+// against drains told in time and heard behind a second's work.
+func TestWhatIsUrgentGoesAheadOfAFullInbox(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { l.Close() })
+	o := &order{peer: l.Addr().String(), heldParty: heldParty{busy: make(chan struct{}), goOn: make(chan struct{})}}
+	loop := NewLoop(nil)
+	addr, err := loop.Listen(o, "127.0.0.1:0", Limits{Frame: 1000, Waiting: 1 << 20, Connections: 10, Inbox: 2})
+	require.NoError(t, err)
+	loop.Run()
+	t.Cleanup(loop.Close)
+	urgent, err := l.Accept()
+	require.NoError(t, err)
+	t.Cleanup(func() { urgent.Close() })
+	o.sees(t, func() bool { return o.opened == 1 })
+	numbered := func(key uint64) *pb.Frame {
+		f := sample()
+		f.GetAsk().Key = key
+		return f
+	}
+	c := dial(t, addr)
+	write(t, c, numbered(1))
+	<-o.busy
+	for key := range uint64(5) {
+		write(t, c, numbered(2+key))
+	}
+	loop.waitFor(t, o, 3)
+	write(t, urgent, numbered(100))
+	a := loop.actors[o]
+	require.Eventually(t, a.pressed.Load, 20*time.Second, time.Millisecond)
+	close(o.goOn)
+	o.sees(t, func() bool { return len(o.keys) == 7 })
+	assert.Equal(t, []uint64{1, 100, 2, 3, 4, 5, 6}, o.keys)
+}
+
+// Where later connections are to wait, they are neither refused nor ended, and come in once there is a place.
+func TestAConnectionTooManyWaitsForItsPlace(t *testing.T) {
+	_, e, addr := listen(t, Limits{Frame: 1000, Waiting: 1 << 20, Connections: 2, Wait: true})
+	first := dial(t, addr)
+	dial(t, addr)
+	e.sees(t, func() bool { return e.opened == 2 })
+	third := dial(t, addr)
+	write(t, third, sample())
+	first.Close()
+	f, err := read(t, third)
+	require.NoError(t, err)
+	assert.Equal(t, uint64(7), f.GetAnswer().Ask)
+}
+
+// A party that has much to do sends what it has to say meanwhile: an answer must not wait for all that came with its ask.
+func TestABusyPartyAnswersAsItGoes(t *testing.T) {
+	busy := &busyParty{seen: make(chan uint64), goOn: make(chan struct{})}
+	l := NewLoop(nil)
+	addr, err := l.Listen(busy, "127.0.0.1:0", DefaultLimits)
+	require.NoError(t, err)
+	l.Run()
+	t.Cleanup(l.Close)
+	c := dial(t, addr)
+	write(t, c, sample())
+	<-busy.seen
+	write(t, c, sample())
+	write(t, c, sample())
+	l.waitFor(t, busy, 2)
+	busy.goOn <- struct{}{}
+	_, err = read(t, c)
+	require.NoError(t, err)
+	<-busy.seen
+	time.Sleep(2 * time.Millisecond) // longer than a party may be busy until what it sent leaves
+	busy.goOn <- struct{}{}
+	<-busy.seen // it is still in the batch of the second
+	_, err = read(t, c)
+	assert.NoError(t, err, "the second answer leaves before the third ask is done with")
+	busy.goOn <- struct{}{}
+}
+
+// busyParty answers each ask and then stays busy with it.
+type busyParty struct {
+	echo
+	seen chan uint64
+	goOn chan struct{}
+}
+
+func (b *busyParty) Received(now choice.Millis, c ConnID, f *pb.Frame) {
+	b.echo.Received(now, c, f)
+	b.seen <- f.GetAsk().Ask
+	<-b.goOn
+}
--- a/internal/link/loop.go
+++ b/internal/link/loop.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"log/slog"
 	"net"
-	"os"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -19,15 +18,20 @@
 
 const (
 	dialWithin  = choice.Millis(2000)
-	inboxMost   = 1 << 16     // messages that wait for a party; beyond that nothing more is read for it
-	flushWithin = time.Second // for what is on its way when a loop closes
+	inboxMost   = 1 << 16         // messages that wait for a party; beyond that nothing more is read for it
+	flushWithin = 2 * time.Second // for what is on its way when a loop closes
+	flushLook   = 2 * time.Millisecond
+	acceptPause = 10 * time.Millisecond // before accepting again, after it failed: mostly for want of a descriptor
+	turnFor     = choice.Millis(1)      // that a party may be busy until what it sent leaves
+	enrolMost   = 4                     // connections handed to the event loop at once: each holds two descriptors meanwhile
 )
 
 // Limits bound what a peer can make a party hold.
 type Limits struct {
-	Frame       int // bytes of one frame
-	Waiting     int // bytes that wait to be written to one peer
-	Connections int // that came in, for one party
+	Frame       int  // bytes of one frame
+	Waiting     int  // bytes that wait to be written to one peer
+	Connections int  // that came in, for one party
+	Wait        bool // later ones wait until one of those has ended, for parties that see to that; else they are refused
 
 	Inbox int // messages that wait for a party, about; beyond that nothing more is read for it; 0 for inboxMost
 
@@ -51,7 +55,9 @@
 	mu     sync.Mutex
 	actors map[any]*actor
 	begun  bool
-	done   sync.WaitGroup
+	failed chan error
+	ran    sync.WaitGroup // parties' goroutines
+	done   sync.WaitGroup // event loops
 }
 
 // NewLoop makes a loop without parties. Its clock starts at 0.
@@ -59,7 +65,17 @@
 	if log == nil {
 		log = slog.New(slog.DiscardHandler)
 	}
-	return &Loop{began: time.Now(), log: log, actors: map[any]*actor{}}
+	return &Loop{began: time.Now(), log: log, actors: map[any]*actor{}, failed: make(chan error, 1)}
+}
+
+// Failed tells of a listener that has ended by itself.
+func (l *Loop) Failed() <-chan error { return l.failed }
+
+func (l *Loop) fail(err error) {
+	select {
+	case l.failed <- err:
+	default:
+	}
 }
 
 // Now is the time on the loop's clock, which all its parties share.
@@ -82,26 +98,26 @@
 	}
 	a := &actor{
 		loop: l, party: h, form: form, limits: limits, signal: make(chan struct{}, 1), socks: map[ConnID]*sock{},
-		stop: make(chan struct{}),
+		stop: make(chan struct{}), enrols: make(chan struct{}, enrolMost),
 	}
 	a.room = sync.NewCond(&a.mu)
+	if limits.Wait {
+		a.places = make(chan struct{}, limits.Connections)
+	}
 	if addr != "" {
-		booted := make(chan error, 1)
-		s := &server{events: events{actor: a, accepts: true}, booted: booted}
+		// What keeps a connection alive is the party's to say.
+		ln, err := (&net.ListenConfig{KeepAlive: -1}).Listen(context.Background(), "tcp", addr)
+		if err != nil {
+			return "", fmt.Errorf("listen on %s: %w", addr, err)
+		}
+		a.listener, addr = ln, ln.Addr().String()
 		l.done.Add(1)
 		go func() {
 			defer l.done.Done()
-			if err := gnet.Run(s, "tcp://"+addr, l.options()...); err != nil {
-				select {
-				case booted <- err:
-				default:
-				}
+			if err := a.accept(); err != nil {
+				l.fail(fmt.Errorf("listen on %s: %w", ln.Addr(), err))
 			}
 		}()
-		if err := <-booted; err != nil {
-			return "", fmt.Errorf("listen on %s: %w", addr, err)
-		}
-		a.server, addr = s, s.addr
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -120,7 +136,6 @@
 func (l *Loop) options() []gnet.Option {
 	return []gnet.Option{
 		gnet.WithNumEventLoop(1), gnet.WithLogger(quiet{l.log}), gnet.WithTCPNoDelay(gnet.TCPNoDelay),
-		gnet.WithReuseAddr(true),
 	}
 }
 
@@ -135,9 +150,9 @@
 }
 
 func (l *Loop) run(a *actor) {
-	l.done.Add(1)
+	l.ran.Add(1)
 	go func() {
-		defer l.done.Done()
+		defer l.ran.Done()
 		a.run()
 	}()
 }
@@ -168,7 +183,8 @@
 	}
 }
 
-// Close ends all parties and connections. What they had sent is given a moment to leave.
+// Close ends all parties and connections. Parties end first, and what they had sent is given a moment to leave before
+// the event loops end: an answer said last must not be lost with them.
 func (l *Loop) Close() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -179,16 +195,61 @@
 		a.mu.Lock()
 		a.room.Broadcast()
 		a.mu.Unlock()
-		if a.server != nil {
-			if err := a.server.engine.Stop(ctx); err != nil {
-				l.log.Debug("stop listening", "err", err)
-			}
+		if a.listener != nil {
+			a.listener.Close()
 		}
-		a.stopClient(l.log)
+	}
+	l.ran.Wait()
+	for _, a := range l.actors {
+		a.drain(ctx)
+		a.stopClients(l.log)
 	}
 	l.done.Wait()
 }
 
+// drain waits until all that the party sent is with the system. The party's goroutine has ended.
+func (a *actor) drain(ctx context.Context) {
+	for _, s := range a.socks {
+		for s.opened && s.buffered(ctx) > 0 {
+			time.Sleep(flushLook)
+		}
+	}
+}
+
+// buffered is how many bytes of what was sent the event loop still holds; 0 too once the connection or ctx has ended.
+func (s *sock) buffered(ctx context.Context) int {
+	left := make(chan int, 1)
+	// A callback that is queued behind all that was sent before.
+	err := s.gc.AsyncWrite(nil, func(c gnet.Conn, err error) error {
+		if err != nil {
+			left <- 0
+		} else {
+			left <- c.OutboundBuffered()
+		}
+		return nil
+	})
+	if err != nil {
+		return 0
+	}
+	select {
+	case n := <-left:
+		return n
+	case <-ctx.Done():
+		return 0
+	}
+}
+
+// lane is which of a party's event loops a connection is on: a reader that is held back, since the party has too much to
+// do, holds back its own lane only.
+type lane uint8
+
+const (
+	came lane = iota
+	dialled
+	ahead // what comes here is handed over before what waits
+	lanes
+)
+
 type itemKind uint8
 
 const (
@@ -214,16 +275,21 @@
 	party  Handler
 	form   func() Form // of connections that come in
 	limits Limits
-	server *server
 	signal chan struct{}
 	stop   chan struct{}
 	once   sync.Once
 
+	listener net.Listener
+	places   chan struct{} // holds one for each connection that came in, where later ones wait
+
 	mu      sync.Mutex
 	inbox   []item
+	first   []item      // what goes ahead of the inbox
+	pressed atomic.Bool // there is something in first
 	room    *sync.Cond
-	client  *gnet.Client
-	inCount atomic.Int64 // connections that came in
+	clients [lanes]*gnet.Client
+	enrols  chan struct{} // holds one for each connection that is being handed to the event loop
+	inCount atomic.Int64  // connections that came in
 
 	// The rest belongs to the goroutine.
 	now    choice.Millis
@@ -240,10 +306,12 @@
 	actor   *actor
 	id      ConnID // the actor's, given when it first hears of it
 	gc      gnet.Conn
-	came    bool // it came in
+	lane    lane
 	form    Form
 	parts   atomic.Uint64 // odd while a message is there in part; it grows with each change
 	failed  atomic.Pointer[string]
+	ended   atomic.Bool        // the event loop knows its end; the party may not have been told yet
+	give    context.CancelFunc // gives up dialling it
 	out     []byte
 	onWay   atomic.Int64 // bytes handed over and not with the event loop yet
 	opened  bool         // the actor has heard of it, and may use gc
@@ -252,7 +320,7 @@
 
 func (a *actor) post(i item) {
 	a.mu.Lock()
-	a.inbox = append(a.inbox, i)
+	a.put(i)
 	a.mu.Unlock()
 	select {
 	case a.signal <- struct{}{}:
@@ -260,13 +328,25 @@
 	}
 }
 
+func (i *item) goesAhead() bool { return i.sock != nil && i.sock.lane == ahead }
+
+// put adds to what waits. All that concerns one connection stays in its order.
+func (a *actor) put(items ...item) {
+	if items[0].goesAhead() {
+		a.first = append(a.first, items...)
+		a.pressed.Store(true)
+		return
+	}
+	a.inbox = append(a.inbox, items...)
+}
+
 // postFrames hands frames over, and waits while the party has too much to do: then its peers wait too.
 func (a *actor) postFrames(items []item) {
 	a.mu.Lock()
-	for len(a.inbox) > a.limits.Inbox && !a.stopped() {
+	for !items[0].goesAhead() && len(a.inbox) > a.limits.Inbox && !a.stopped() {
 		a.room.Wait()
 	}
-	a.inbox = append(a.inbox, items...)
+	a.put(items...)
 	a.mu.Unlock()
 	select {
 	case a.signal <- struct{}{}:
@@ -292,10 +372,10 @@
 	var batch []item
 	for {
 		timer.Reset(a.pause())
+		stopped := false
 		select {
 		case <-a.stop:
-			a.flush()
-			return
+			stopped = true // what is there by now is still handled, and answered
 		case <-a.signal:
 		case <-timer.C:
 		}
@@ -304,12 +384,94 @@
 		a.room.Broadcast()
 		a.mu.Unlock()
 		a.now = a.loop.Now()
+		a.urgent()
 		for i := range batch {
 			a.handle(&batch[i])
 			batch[i] = item{}
+			// A full inbox takes a busy party long: what it sends must not wait for the end of it, nor its timers, and
+			// it must not take the beginning for now.
+			if now := a.loop.Now(); now-a.now >= turnFor {
+				a.now = now
+				a.due()
+				a.flush()
+			}
+			if a.pressed.Load() {
+				a.urgent()
+			}
 		}
 		a.due()
 		a.flush()
+		if stopped {
+			return
+		}
+	}
+}
+
+// urgent handles what goes ahead.
+func (a *actor) urgent() {
+	a.mu.Lock()
+	first := a.first
+	a.first = nil
+	a.pressed.Store(false)
+	a.mu.Unlock()
+	for i := range first {
+		a.handle(&first[i])
+	}
+}
+
+// accept takes connections in until the listener is closed. Where there is no place or no descriptor for one more, it
+// waits, and so do those who come: an end to listening would leave a process that serves nobody.
+func (a *actor) accept() error {
+	for {
+		if a.places != nil {
+			select {
+			case a.places <- struct{}{}:
+			case <-a.stop:
+				return nil
+			}
+		}
+		c, err := a.listener.Accept()
+		if err == nil {
+			a.take(c)
+			continue
+		}
+		a.leave()
+		if a.stopped() {
+			return nil
+		}
+		if errors.Is(err, net.ErrClosed) {
+			return err
+		}
+		a.loop.log.Warn("connection not accepted", "err", err)
+		time.Sleep(acceptPause)
+	}
+}
+
+// take hands a connection that came in to the event loop, or refuses it.
+func (a *actor) take(c net.Conn) {
+	s := &sock{actor: a, lane: came, form: a.form()}
+	if n := a.inCount.Add(1); a.places == nil && n > int64(a.limits.Connections) {
+		a.loop.Stats.TooMany.Add(1)
+		why := fmt.Sprintf("%d connections stand, the most there may be; come again later", a.limits.Connections)
+		if out, err := s.form.Append(nil, Refuse(why)); err == nil { // other forms have no such message, and just end
+			c.Write(out)
+		}
+		c.Close()
+		a.inCount.Add(-1)
+		return
+	}
+	if err := a.enrol(c, s); err != nil {
+		a.loop.log.Warn("connection not taken in", "err", err)
+		c.Close()
+		a.inCount.Add(-1)
+		a.leave()
+	}
+}
+
+// leave gives the place of a connection that came in to the next.
+func (a *actor) leave() {
+	if a.places != nil {
+		<-a.places
 	}
 }
 
@@ -377,35 +539,56 @@
 // DialAs is the party's: so are Send and Close.
 func (a *actor) DialAs(addr string, f Form, within choice.Millis) ConnID {
 	a.lastID++
-	s := &sock{actor: a, id: a.lastID, form: f}
+	ctx, give := context.WithTimeout(context.Background(), time.Duration(float64(within)*1e6))
+	s := &sock{actor: a, id: a.lastID, lane: dialled, form: f, give: give}
+	if _, urgent := f.(Urgent); urgent {
+		s.lane = ahead
+	}
 	a.socks[s.id] = s
-	go a.connect(s, addr, time.Duration(float64(within)*1e6))
+	go a.connect(ctx, s, addr)
 	return s.id
 }
 
-func (a *actor) connect(s *sock, addr string, within time.Duration) {
-	c, err := net.DialTimeout("tcp", addr, within)
+func (a *actor) connect(ctx context.Context, s *sock, addr string) {
+	defer s.give()
+	var dialer net.Dialer
+	c, err := dialer.DialContext(ctx, "tcp", addr)
 	if err == nil {
-		var client *gnet.Client
-		if client, err = a.dialler(); err == nil {
-			if _, err = client.EnrollContext(c, s); err == nil {
-				return // OnOpen posts it
-			}
+		if err = a.enrol(c, s); err == nil {
+			return // OnOpen posts it
 		}
 		c.Close()
 	}
 	a.post(item{kind: itemClosed, sock: s, why: dialError(err)})
 }
 
-// dialler is the event loop of connections that the party dialled.
-func (a *actor) dialler() (*gnet.Client, error) {
+// enrol hands a connection that stands to the event loop.
+func (a *actor) enrol(c net.Conn, s *sock) error {
+	a.enrols <- struct{}{}
+	defer func() { <-a.enrols }()
+	client, err := a.client(s.lane)
+	if err != nil {
+		return err
+	}
+	_, err = client.EnrollContext(c, s)
+	return err
+}
+
+// Ended is the party's: the event loop may know of an end that the party is told of only after what came before it.
+func (a *actor) Ended(c ConnID) bool {
+	s := a.socks[c]
+	return s == nil || s.closing || s.ended.Load()
+}
+
+// client is the event loop of a lane.
+func (a *actor) client(l lane) (*gnet.Client, error) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if a.stopped() {
 		return nil, errors.New("the loop is closed")
 	}
-	if a.client != nil {
-		return a.client, nil
+	if a.clients[l] != nil {
+		return a.clients[l], nil
 	}
 	c, err := gnet.NewClient(&events{actor: a}, a.loop.options()...)
 	if err != nil {
@@ -414,19 +597,21 @@
 	if err := c.Start(); err != nil {
 		return nil, err
 	}
-	a.client = c
+	a.clients[l] = c
 	return c, nil
 }
 
-func (a *actor) stopClient(log *slog.Logger) {
+func (a *actor) stopClients(log *slog.Logger) {
 	a.mu.Lock()
-	c := a.client
+	clients := a.clients
 	a.mu.Unlock()
-	if c == nil {
-		return
-	}
-	if err := c.Stop(); err != nil {
-		log.Debug("stop dialled connections", "err", err)
+	for _, c := range clients {
+		if c == nil {
+			continue
+		}
+		if err := c.Stop(); err != nil {
+			log.Debug("stop connections", "err", err)
+		}
 	}
 }
 
@@ -454,8 +639,11 @@
 	a.write(s)
 	s.closing = true
 	delete(a.socks, c)
-	if s.opened {
+	switch {
+	case s.opened:
 		s.gc.Close()
+	case s.give != nil:
+		s.give() // its descriptor is wanted back now, not when dialling would have failed
 	}
 }
 
@@ -505,51 +693,15 @@
 // events are what gnet's loops call for one party.
 type events struct {
 	gnet.BuiltinEventEngine
-	actor   *actor
-	accepts bool
-}
-
-type server struct {
-	events
-	engine gnet.Engine
-	addr   string
-	booted chan error
-}
-
-// OnBoot learns which address the system chose.
-func (s *server) OnBoot(e gnet.Engine) gnet.Action {
-	s.engine = e
-	fd, err := e.Dup()
-	if err == nil {
-		f := os.NewFile(uintptr(fd), "listener")
-		var l net.Listener
-		if l, err = net.FileListener(f); err == nil {
-			s.addr = l.Addr().String()
-			l.Close()
-		}
-		f.Close()
-	}
-	s.booted <- err
-	return gnet.None
+	actor *actor
 }
 
 func (e *events) OnOpen(c gnet.Conn) ([]byte, gnet.Action) {
-	s, dialled := c.Context().(*sock)
-	if !dialled {
-		s = &sock{actor: e.actor, came: true, form: e.actor.form()}
-		c.SetContext(s)
+	s, ok := c.Context().(*sock)
+	if !ok {
+		return nil, gnet.Close
 	}
 	s.gc = c
-	if !dialled && e.actor.inCount.Add(1) > int64(e.actor.limits.Connections) {
-		e.actor.loop.Stats.TooMany.Add(1)
-		why := fmt.Sprintf("%d connections stand, the most there may be; come again later", e.actor.limits.Connections)
-		s.failed.Store(&why)
-		out, err := s.form.Append(nil, Refuse(why)) // other forms have no such message, and just end
-		if err != nil {
-			out = nil
-		}
-		return out, gnet.Close
-	}
 	e.actor.post(item{kind: itemOpened, sock: s})
 	return nil, gnet.None
 }
@@ -559,8 +711,10 @@
 	if !ok {
 		return gnet.None
 	}
-	if s.came {
+	s.ended.Store(true)
+	if s.lane == came {
 		e.actor.inCount.Add(-1)
+		e.actor.leave()
 	}
 	why := "closed by the peer"
 	if failed := s.failed.Load(); failed != nil {
--- a/internal/platform/config.go
+++ b/internal/platform/config.go
@@ -29,6 +29,9 @@
 	Sockets  int     `json:"sockets"`
 }
 
+// leastSockets leaves a dozen descriptors for nodes beside the owners' share and what is kept.
+const leastSockets = 64
+
 // ReadConfig reads the file that the platform gives. Listen, where given, is the address that the environment names.
 func ReadConfig(file, listen string) (*Config, error) {
 	b, err := os.ReadFile(file)
@@ -67,8 +70,8 @@
 		return nil, fmt.Errorf("%s: listen is missing; give the address that clients connect to", file)
 	case c.Journal == "":
 		return nil, fmt.Errorf("%s: journal is missing; give the journal service's address", file)
-	case c.Limits.Sockets < 32:
-		return nil, fmt.Errorf("%s: limits.sockets is %d; an allocator needs 32 or more", file, c.Limits.Sockets)
+	case c.Limits.Sockets < leastSockets:
+		return nil, fmt.Errorf("%s: limits.sockets is %d; an allocator needs %d or more", file, c.Limits.Sockets, leastSockets)
 	case c.Limits.MemoryMB <= 0:
 		return nil, fmt.Errorf("%s: limits.memory_mb is %d; it must be above 0", file, c.Limits.MemoryMB)
 	}
--- a/internal/platform/helpers_test.go
+++ b/internal/platform/helpers_test.go
@@ -20,6 +20,7 @@
 	dialed map[link.ConnID]string
 	sent   map[link.ConnID][]any
 	closed map[link.ConnID]bool
+	ended  map[link.ConnID]bool // their peers have closed them, and the party is yet to be told
 }
 
 func (w *wires) DialAs(addr string, _ link.Form, _ choice.Millis) link.ConnID {
@@ -29,6 +30,7 @@
 }
 func (w *wires) Send(c link.ConnID, m any) { w.sent[c] = append(w.sent[c], m) }
 func (w *wires) Close(c link.ConnID)       { w.closed[c] = true }
+func (w *wires) Ended(c link.ConnID) bool  { return w.closed[c] || w.ended[c] }
 func (w *wires) WakeAt(choice.Millis)      {}
 func (w *wires) Now() choice.Millis        { return w.now }
 func (w *wires) to(addr string) (c link.ConnID) { // the last connection dialled there
@@ -69,10 +71,12 @@
 		},
 		Known: []json.RawMessage{listOf(1, "Ready", 0)},
 	}
-	w := &wires{dialed: map[link.ConnID]string{}, sent: map[link.ConnID][]any{}, closed: map[link.ConnID]bool{}}
+	w := &wires{dialed: map[link.ConnID]string{}, sent: map[link.ConnID][]any{}, closed: map[link.ConnID]bool{},
+		ended: map[link.ConnID]bool{}}
 	r := &rig{Platform: New(c, nil), w: w, owner: 1000}
 	r.wall = func() choice.Millis { return 1e9 + r.at }
 	r.Start(0, w)
+	r.through(r.byName["s-01"], func(*conn) {}) // a node is dialled on need
 	r.node = w.to(nodeAddr)
 	require.NotZero(t, r.node)
 	r.Opened(1, r.node)
--- a/internal/platform/journal.go
+++ b/internal/platform/journal.go
@@ -1,8 +1,10 @@
 package platform
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
+	"log/slog"
 	"slices"
 
 	"grebeglade/choice"
@@ -131,7 +133,9 @@
 	if cached {
 		kind = choice.Cached
 	}
-	p.log.Debug("list", "kind", kind, "nodes", fmt.Sprint(e.Hosts.Endpoints))
+	if p.log.Enabled(context.Background(), slog.LevelDebug) { // writing a list of hundreds takes longer than reading it
+		p.log.Debug("list", "kind", kind, "nodes", fmt.Sprint(e.Hosts.Endpoints))
+	}
 	p.engine.List(now, kind, nodes)
 	p.follow(now, e.Hosts.Endpoints, nodes, kind != choice.Changes)
 	return nil
@@ -170,11 +174,7 @@
 		restarted := n.listed && n.entry.Born != entry.Born
 		n.entry, n.addr, n.listed = entry, ends[i].Address, true
 		if moved {
-			for _, c := range []*conn{n.conn, n.dialling} {
-				if c != nil {
-					p.drop(now, c, "the node's address has changed")
-				}
-			}
+			p.hangUp(now, n, "the node's address has changed")
 		}
 		switch {
 		case entry.State == choice.Gone:
@@ -182,7 +182,9 @@
 		case restarted:
 			p.lostBefore(now, n, entry.Born)
 		}
-		p.connect(now, n)
+		if !n.resting {
+			p.connect(now, n)
+		}
 	}
 	if !whole {
 		return
--- a/internal/platform/nodes.go
+++ b/internal/platform/nodes.go
@@ -10,12 +10,8 @@
 	"grebeglade/internal/settings"
 )
 
-const (
-	connectWithin = choice.Millis(250)  // ms, where the settings do not say
-	redialFirst   = choice.Millis(50)   // ms before a node is dialled again
-	redialMost    = choice.Millis(1000) // ms, in the end: what stands there wants to be heard
-	deadAfter     = choice.Millis(600)  // ms for which nobody listens at an address, until what stood there is lost
-)
+// deadAfter is for how long nobody listens at an address, in ms, until what stood there is lost.
+const deadAfter = choice.Millis(600)
 
 // node is a node as the platform names it, with our connections to it.
 type node struct {
@@ -26,10 +22,11 @@
 	listed    bool
 	conn      *conn // that new binds take
 	dialling  *conn
-	waiting   []func(c *conn) // for the connection that is dialled; nil when there is none
+	waiting   []func(c *conn) // for a connection; nil when there will be none
 	fails     int
 	refused   choice.Millis // since when nobody listens, or 0
 	redialing bool
+	resting   bool                            // its connection gave way to another node's; it is dialled only for what is to be said to it
 	unsent    []wire.Tag                      // releases that wait for a connection
 	holds     map[choice.WorkloadID]*workload // out or standing there
 }
@@ -58,25 +55,8 @@
 	}
 	delete(p.nodes, n.id)
 	delete(p.byName, n.name)
-	for _, c := range []*conn{n.conn, n.dialling} {
-		if c != nil {
-			p.drop(now, c, "the node is gone")
-		}
-	}
-}
-
-// connect dials a node, unless it is connected or there is nothing to dial.
-func (p *Platform) connect(now choice.Millis, n *node) {
-	if n.conn != nil || n.dialling != nil || n.addr == "" || n.entry.State == choice.Gone {
-		return
-	}
-	within := p.c.Told.ConnectTimeout
-	if within <= 0 {
-		within = connectWithin
-	}
-	id := p.net.DialAs(n.addr, wire.Binary{}, within)
-	n.dialling = &conn{id: id, node: n, open: map[choice.WorkloadID]*workload{}}
-	p.conns[id] = n.dialling
+	p.hangUp(now, n, "the node is gone")
+	n.answerWaiting(nil)
 }
 
 func (p *Platform) nodeOpened(now choice.Millis, c *conn) {
@@ -88,11 +68,7 @@
 	}
 	p.log.Debug("connected to a node", "node", n.name, "address", n.addr, "holds", len(n.holds))
 	n.dialling, n.conn, n.fails, n.refused = nil, c, 0, 0
-	waiting := n.waiting
-	n.waiting = nil
-	for _, call := range waiting {
-		call(c)
-	}
+	n.answerWaiting(c)
 	for _, t := range n.unsent {
 		p.net.Send(c.id, wire.Message{Verb: wire.Finish, Tag: t}.With(wire.Well))
 	}
@@ -112,11 +88,7 @@
 	}
 	if n.dialling == c {
 		n.dialling = nil
-		waiting := n.waiting
-		n.waiting = nil
-		for _, call := range waiting {
-			call(nil)
-		}
+		n.answerWaiting(nil)
 		n.fails++
 		switch {
 		case why != link.Refused:
@@ -130,19 +102,6 @@
 	p.redial(now, n)
 }
 
-func (p *Platform) redial(now choice.Millis, n *node) {
-	if n.redialing || n.entry.State == choice.Gone {
-		return
-	}
-	n.redialing = true
-	p.timers.At(now+p.backoff(redialFirst, redialMost, n.fails), func(now choice.Millis) {
-		n.redialing = false
-		if p.nodes[n.id] == n {
-			p.connect(now, n)
-		}
-	})
-}
-
 // dead ends what stood on a node whose process is no more.
 func (p *Platform) dead(now choice.Millis, n *node) { p.lostBefore(now, n, now+1) }
 
@@ -166,16 +125,7 @@
 		return
 	}
 	n.holds[wl.id] = wl
-	if n.conn != nil {
-		p.send(wl, n.conn, until)
-		return
-	}
-	p.connect(p.now, n)
-	if n.dialling == nil {
-		p.never(wl)
-		return
-	}
-	n.waiting = append(n.waiting, func(c *conn) {
+	p.through(n, func(c *conn) {
 		if p.wls[wl.id] != wl || wl.bind != bind || wl.out || wl.node != n {
 			return
 		}
@@ -204,7 +154,7 @@
 }
 
 func (p *Platform) send(wl *workload, c *conn, until choice.Millis) {
-	wl.on, wl.out, wl.sentAt = c, true, p.now
+	wl.on, wl.out, wl.sentAt, c.used = c, true, p.now, p.now
 	c.open[wl.id] = wl
 	p.net.Send(c.id, &wire.Message{
 		Verb: wire.Start, Tag: wl.tag, Description: wl.asked, Fields: map[wire.Field]string{
@@ -235,7 +185,7 @@
 		// A connection on which nothing has come since is no place for the next bind.
 		if out && c.heard < wl.sentAt && c.node.conn == c {
 			c.node.conn = nil
-			p.connect(p.now, c.node)
+			p.dial(p.now, c.node)
 		}
 		p.retire(c)
 		return
@@ -266,16 +216,17 @@
 // release ends a workload at its node.
 func (p *Platform) release(wl *workload) {
 	c := wl.on
-	if c == nil || p.conns[c.id] != c {
+	if c == nil || p.conns[c.id] != c || p.idle(p.now, c) {
 		c = wl.node.conn
 	}
-	if c == nil {
+	if c == nil || p.idle(p.now, c) {
 		if n := wl.node; len(n.unsent) < keepOver {
 			n.unsent = append(n.unsent, wl.tag)
 		}
 		p.connect(p.now, wl.node)
 		return
 	}
+	c.used = p.now
 	p.net.Send(c.id, wire.Message{Verb: wire.Finish, Tag: wl.tag}.With(wire.Well))
 }
 
@@ -364,22 +315,25 @@
 // test asks a node for its report.
 func (p *Platform) test(id choice.NodeID) {
 	p.Counts.Probes++
-	n := p.nodes[id]
-	if n == nil || n.conn == nil {
-		if n != nil {
-			p.connect(p.now, n)
-		}
-		p.later = append(p.later, func(now choice.Millis) { p.engine.Probed(now, id, false, nil) })
-		return
-	}
 	p.probe++
 	t := p.probe
 	p.probes[t] = id
-	p.net.Send(n.conn.id, wire.Message{Verb: wire.Echo, Tag: t}.With(wire.Failed))
-	p.timers.At(p.now+endGrace, func(now choice.Millis) {
+	fail := func(now choice.Millis) {
 		if _, out := p.probes[t]; out {
 			delete(p.probes, t)
 			p.engine.Probed(now, id, false, nil)
 		}
+	}
+	p.timers.At(p.now+endGrace, fail)
+	p.through(p.nodes[id], func(c *conn) {
+		if _, out := p.probes[t]; !out {
+			return
+		}
+		if c == nil {
+			p.later = append(p.later, fail)
+			return
+		}
+		c.used = p.now
+		p.net.Send(c.id, wire.Message{Verb: wire.Echo, Tag: t}.With(wire.Failed))
 	})
 }
--- a/internal/platform/owners.go
+++ b/internal/platform/owners.go
@@ -99,6 +99,11 @@
 	case err != nil:
 		p.bad(now, c, m.Tag, err)
 		return
+	case at == "" && p.net.Ended(c.id):
+		// Its owner has gone: the end of the connection is read already and waits behind this line. A bind for it would
+		// take the room of one that somebody waits for, and then be given up.
+		p.Counts.Withdrawn++
+		return
 	case known != nil && at != "":
 		return // it is on the books
 	case known != nil && known.from == c.id && !known.done:
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -23,6 +23,7 @@
 	muteFor     = choice.Millis(2000) // ms a connection may stay without a whole message; the platform wants a word in 3 s
 	wholeWithin = choice.Millis(1000) // ms from a message's first byte to its last
 	drainFor    = choice.Millis(750)  // ms after SIGTERM in which asks still come and are served
+	leaveWithin = choice.Millis(1000) // ms after that for releases that wait; the platform gives 3.7 s from SIGTERM on at least
 	endGrace    = choice.Millis(3000) // ms that a node may take to confirm an end that we sent it
 	pulse       = choice.Millis(1000) // ms between wake-ups at least
 	keepOver    = 4096                // releases that wait for a connection to an owner
@@ -31,7 +32,10 @@
 
 // ownersShare is the share of the descriptors for owners' connections: owners keep to a third, the rest is for those that
 // do not. What is left is for nodes, the journal service, the listener and the event loops.
-const ownersShare = 0.5
+const ownersShare = 0.4
+
+// overOwners is how many owners' connections more the loop lets in, so that the party may choose who goes.
+const overOwners = 8
 
 type workload struct {
 	id     choice.WorkloadID
@@ -58,8 +62,9 @@
 	id     link.ConnID
 	node   *node
 	opened bool
-	spoke  bool // a whole message came
-	served bool // a workload of its owner was placed
+	spoke  bool          // a whole message came
+	used   choice.Millis // when something was last sent to the node
+	served bool          // a workload of its owner was placed
 	heard  choice.Millis
 	open   map[choice.WorkloadID]*workload // set-ups that have no answer here
 }
@@ -80,6 +85,8 @@
 
 	conns   map[link.ConnID]*conn
 	owners  int
+	toNodes int // connections to nodes, also those being dialled
+	tidied  choice.Millis
 	wls     map[choice.WorkloadID]*workload
 	tags    map[wire.Tag]*workload
 	lastID  choice.WorkloadID
@@ -133,7 +140,7 @@
 // Limits are those of the party's connections.
 func (p *Platform) Limits() link.Limits {
 	return link.Limits{
-		Frame: wire.MostBytes, Waiting: 256 << 10, Connections: p.mostOwners() + 8, Inbox: 512, Whole: wholeWithin,
+		Frame: wire.MostBytes, Waiting: 256 << 10, Connections: p.mostOwners() + overOwners, Wait: true, Inbox: 512, Whole: wholeWithin,
 	}
 }
 
@@ -159,9 +166,14 @@
 	}
 }
 
-// Stopped tells whether all that is owed has been said since Stop.
+// Stopped tells whether all that is owed has been said since Stop. Releases that wait for a connection to their node are
+// given a while; what is owed to owners that have no connection here is told by whoever adopts it next.
 func (p *Platform) Stopped(now choice.Millis) bool {
-	return p.stopping && now-p.stopAt > drainFor && p.pending == 0
+	if !p.stopping || now-p.stopAt <= drainFor || p.pending > 0 {
+		return false
+	}
+	waits := func(n *node) bool { return len(n.unsent) > 0 && n.reachable() }
+	return now-p.stopAt > drainFor+leaveWithin || !slices.ContainsFunc(inOrder(p.nodes), waits)
 }
 
 // Reload takes a new address of the journal service.
@@ -174,6 +186,10 @@
 func (p *Platform) Wake(now choice.Millis) {
 	p.now, p.due = now, now
 	p.timers.Run(now)
+	if now-p.tidied >= pulse {
+		p.tidied = now
+		p.tidy(now)
+	}
 	if p.wakes && p.wake <= now {
 		p.wakes = false
 		p.engine.Tick(now)
@@ -254,6 +270,7 @@
 		p.journalClosed(now, why)
 	case c == nil:
 	case c.node != nil:
+		p.toNodes--
 		p.nodeClosed(now, c, why)
 	default:
 		p.ownerClosed(now, c)
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -1,6 +1,8 @@
 package platform
 
 import (
+	"fmt"
+	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/assert"
@@ -233,3 +235,107 @@
 		assert.Empty(t, n.unsent)
 	}
 }
+
+// An owner that has gone gets no bind, also where its set-up is handled before its end. It guards against work for those
+// who have left; what stands is ended all the same.
+func TestASetUpOfAnOwnerThatHasGoneIsNotBegun(t *testing.T) {
+	r := newRig(t)
+	r.says(r.owner, ask(6))
+	r.says(r.node, started(6))
+	r.w.ended[r.owner] = true
+	r.says(r.owner, ask(7))
+	r.says(r.owner, finish(6, wire.Well))
+	assert.Empty(t, r.heard(r.node, 7))
+	assert.Equal(t, []string{"START", "FINISH 16"}, r.heard(r.node, 6))
+	r.Closed(r.at, r.owner, "closed")
+	assert.Empty(t, r.heard(r.node, 7))
+	assert.Zero(t, r.pending)
+}
+
+// listNodes tells of n more nodes, all with room.
+func (r *rig) listNodes(n int) {
+	var ends []string
+	for i := range n {
+		ends = append(ends, fmt.Sprintf(`{"name":"m-%02d","address":%q,"zone":"z","type":"small","group":0,"status":"Ready","room":[20,40]}`,
+			i, fmt.Sprintf("127.0.1.%d:5080", i)))
+	}
+	data := fmt.Sprintf(`{"hosts":{"endpoints":[%s]}}`, strings.Join(ends, ","))
+	r.Received(r.at, r.w.to(journalAddr), &wire.News{Events: []wire.Event{{ID: 2, Data: []byte(data)}}})
+}
+
+// open brings up all connections that are being dialled to nodes, and returns how many there are to nodes.
+func (r *rig) open() (n int) {
+	for _, c := range inOrder(r.conns) {
+		if c.node != nil && !c.opened {
+			r.Opened(r.at, c.id)
+		}
+		if c.node != nil {
+			n++
+		}
+	}
+	return n
+}
+
+// More nodes than descriptors: each is reached when something is to be said to it, within the nodes' share, and the one
+// on which nothing of ours stands gives way. It guards against a process that runs out of descriptors: its listener ends
+// for good when it cannot accept. It could harm where nearly all nodes hold something of ours: their ends are heard later.
+func TestConnectionsToNodesStayWithinTheirShare(t *testing.T) {
+	r := newRig(t)
+	r.listNodes(40)
+	assert.Equal(t, 1, r.toNodes, "a list alone has nobody dialled")
+	require.Less(t, r.mostToNodes(), 40)
+	r.says(r.owner, ask(7))
+	holder := r.tags[7].node
+	r.open()
+	r.says(holder.conn.id, started(7))
+	for i := range 3 * 40 {
+		r.pass(20)
+		n := r.byName[fmt.Sprintf("m-%02d", i%40)]
+		reached := false
+		r.through(n, func(c *conn) { reached = c != nil && c.node == n })
+		assert.LessOrEqual(t, r.open(), r.mostToNodes())
+		assert.True(t, reached, n.name)
+		assert.NotNil(t, holder.conn, "what stands there may end at any time")
+	}
+	assert.Equal(t, r.toNodes, r.open())
+}
+
+// A node whose connection gave way although something of ours stands there is heard again soon.
+func TestANodeThatGaveWayIsVisitedAgain(t *testing.T) {
+	r := newRig(t)
+	r.listNodes(40)
+	for i := range 40 {
+		n := r.byName[fmt.Sprintf("m-%02d", i)]
+		r.says(r.owner, ask(wire.Tag(100+i), "extras", "cores:1;memory:2;service:07;at:"+n.name))
+		r.pass(1)
+		r.open()
+	}
+	told := map[string]bool{}
+	for range 400 {
+		r.pass(20)
+		r.open()
+		for _, c := range r.conns {
+			if c.node != nil && c.opened {
+				told[c.node.name] = true
+			}
+		}
+	}
+	assert.GreaterOrEqual(t, len(told), 40, "within the 8 s in which owners are to be told")
+}
+
+// A connection that is nearly idle for the settings' time is ended by us: a set-up that crosses the node's own close would
+// count as one that may have run.
+func TestAnIdleConnectionIsEndedBeforeItsNodeDoes(t *testing.T) {
+	r := newRig(t)
+	r.c.Told.IdleTimeout = 5000
+	r.says(r.owner, finish(1, wire.Well)) // it spoke, so it stays
+	r.pass(5000*idleShare - 100)
+	assert.False(t, r.w.closed[r.node])
+	r.pass(100 + pulse + 50)
+	assert.True(t, r.w.closed[r.node])
+	r.says(r.owner, ask(7))
+	again := r.w.to(nodeAddr)
+	require.Greater(t, again, r.node)
+	r.Opened(r.at, again)
+	assert.Equal(t, []string{"START"}, r.heard(again, 7))
+}
--- a/internal/platform/wire/journal.go
+++ b/internal/platform/wire/journal.go
@@ -33,6 +33,9 @@
 	hasID, hasData  bool
 }
 
+// Urgent marks the form: a drain is to be kept from when it is told, however much waits.
+func (s *Stream) Urgent() {}
+
 func (s *Stream) Append(b []byte, m any) ([]byte, error) {
 	f, ok := m.(Follow)
 	if !ok {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -22,6 +22,7 @@
 	Kinds          []string
 	Zones          []string
 	ConnectTimeout choice.Millis // a connection that is not up by then has failed; 0 where it is not told
+	IdleTimeout    choice.Millis // a connection that carries nothing for so long is closed; 0 where it is not told
 }
 
 // SetLoad sets the value of that name in a load report; other names are passed over.
@@ -238,6 +239,9 @@
 	if _, told := c.pairs["permissions.connect_timeout_ns"]; told {
 		t.ConnectTimeout = c.millis("permissions.connect_timeout_ns")
 	}
+	if _, told := c.pairs["permissions.keepalive_ns"]; told {
+		t.IdleTimeout = c.millis("permissions.keepalive_ns")
+	}
 	return t, c.err
 }
 
