Work out which machines are kept for large asks without putting the fleet in order

A profile of 400 machines (fleet short of room) put 45% of a choice into reserve, half of that into a stable sort with a map. What is decided is the same.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -166,6 +166,7 @@
 	placed       map[WorkloadID]*bind
 	confirms     []Millis
 	useShares    []float64
+	useShare     float64 // of their ask in cores that workloads use: the mean of useShares
 	mean         float64 // load, as of meanAt
 	meanAt       Millis
 	watchDue     Millis
@@ -182,7 +183,7 @@
 		watchQuiet: min(watchQuiet, s.AskWithin/2), byRunning: s.ConfirmsRunning,
 		reportsUse: s.ReportsUse, roomInList: s.RoomInList, allocators: float64(n), maxBinds: s.MaxBinds,
 		mayProbe: s.MayProbe, seed: seed, known: map[NodeID]*node{}, placed: map[WorkloadID]*bind{},
-		meanAt: LongAgo,
+		meanAt: LongAgo, useShare: useGuess,
 	}
 	over := min(a.allocators, reserveMost)
 	a.reserveFor, a.reserveTimes = reserveFor*Millis(over), a.allocators/over
@@ -369,6 +370,11 @@
 		b.used = value
 		if b.wl.Cores > 0 {
 			a.useShares = keep(a.useShares, value/b.wl.Cores, 2*keepStarts)
+			sum := 0.0
+			for _, v := range a.useShares {
+				sum += v
+			}
+			a.useShare = sum / float64(len(a.useShares))
 		}
 	}
 }
@@ -387,7 +393,7 @@
 		r.used = l.Utilization * n.size.Cores
 	}
 	if math.IsNaN(r.used) {
-		r.used = (n.size.Cores - l.SpareCores) * a.useShare()
+		r.used = (n.size.Cores - l.SpareCores) * a.useShare
 	}
 	// Where answers come thick, the last report gives way to the next, so that those kept span the move window.
 	if last := len(n.reports) - 1; last > 0 && now-n.reports[last-1].at < moveWindow/(keepSamples-2) {
@@ -564,7 +570,8 @@
 		n    *node
 		load float64
 	}
-	var running, others []option
+	var running []option
+	others := make([]option, 0, len(a.nodes))
 	for _, n := range a.nodes {
 		if !a.feasible(now, wl, n) || slices.Contains(barred, n) || kept(n) {
 			continue
@@ -658,39 +665,57 @@
 		return min(room.Cores/largest.Cores, room.Memory/largest.Memory,
 			(loadCap*n.size.Cores-used)/largest.Cores, (memoryCap*n.size.Memory-a.usedMemory(now, n))/largest.Memory)
 	}
-	type roomy struct {
-		n      *node
-		places float64
-	}
-	var by []roomy
-	total := 0.0
+	by, total := make([]roomy, 0, len(a.nodes)), 0.0
 	for _, n := range a.nodes {
 		if n.State == Ready {
 			p := places(n, a.room(now, n))
-			by = append(by, roomy{n, p})
-			total += max(0, math.Floor(p))
+			by, total = append(by, roomy{n, p}), total+max(0, math.Floor(p))
 		}
 	}
-	slices.SortStableFunc(by, func(x, y roomy) int { return cmp.Compare(y.places, x.places) })
-	order := make(map[*node]int, len(by))
-	for i, r := range by {
-		order[r.n] = i
+	if total < wanted {
+		kept := roomiest(by, int(wanted))
+		return func(n *node) bool { return kept[n] }
 	}
 	return func(n *node) bool {
-		at, ready := order[n]
-		if !ready {
-			return false
-		}
 		room := a.room(now, n)
 		after := places(n, Kind{room.Cores - wl.Cores, room.Memory - wl.Memory})
-		lost := max(0, math.Floor(by[at].places)) - max(0, math.Floor(after))
-		if total < wanted {
-			return float64(at) < wanted
-		}
+		lost := max(0, math.Floor(places(n, room))) - max(0, math.Floor(after))
 		return total-lost < wanted
 	}
 }
 
+// roomy is a machine, and how many of the largest asks it has room for.
+type roomy struct {
+	n      *node
+	places float64
+}
+
+// roomiest returns so many of the machines, those with the most places; of equal ones the first.
+func roomiest(by []roomy, most int) map[*node]bool {
+	most = min(most, len(by))
+	sorted := make([]float64, len(by))
+	for i, r := range by {
+		sorted[i] = r.places
+	}
+	slices.Sort(sorted)
+	kept, least, equal := make(map[*node]bool, most), math.Inf(1), 0
+	if most > 0 {
+		least = sorted[len(by)-most]
+		above, _ := slices.BinarySearch(sorted, math.Nextafter(least, math.Inf(1)))
+		equal = most - (len(by) - above)
+	}
+	for _, r := range by {
+		switch {
+		case r.places > least:
+			kept[r.n] = true
+		case r.places == least && equal > 0:
+			kept[r.n] = true
+			equal--
+		}
+	}
+	return kept
+}
+
 // feasible tells whether wl may go to n: by the rules, the room seen less our recent binds, and the cap.
 func (a *Allocator) feasible(now Millis, wl *workload, n *node) bool {
 	g := wl.group
@@ -849,7 +874,7 @@
 	if !ok || math.IsNaN(r.used) {
 		return 0, false
 	}
-	return max(0, r.used+n.changed(r.at-reportLag).cores*a.useShare()), true
+	return max(0, r.used+n.changed(r.at-reportLag).cores*a.useShare), true
 }
 
 // usedMemory is the memory in use on a machine heard of lately, or 0.
@@ -861,18 +886,6 @@
 	return max(0, r.memory+n.changed(r.at-reportLag).memory)
 }
 
-// useShare is the share of their ask in cores that workloads use.
-func (a *Allocator) useShare() float64 {
-	if len(a.useShares) == 0 {
-		return useGuess
-	}
-	sum := 0.0
-	for _, v := range a.useShares {
-		sum += v
-	}
-	return sum / float64(len(a.useShares))
-}
-
 // barred returns the machines that symptoms speak against, worst first and never more than a part of the
 // fleet: failed contacts, or a bind that is unanswered for too long.
 func (a *Allocator) barred(now Millis) []*node {
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -599,3 +599,21 @@
 	assert.Greater(t, placed[0], 80000)
 	assert.Less(t, heaps[2], heaps[0]+256<<10)
 }
+
+// The machines kept for the largest asks are those with the most places, of equal ones the first. It guards against another
+// choice where only a part of the order is worked out; ordering a large fleet for each ask took most of a small core.
+func TestTheRoomiestMachinesAreKept(t *testing.T) {
+	var by []roomy
+	for _, places := range []float64{0.5, 3, 2, 3, -1, 2, 2} {
+		by = append(by, roomy{&node{}, places})
+	}
+	for most, want := range [][]int{{}, {1}, {1, 3}, {1, 2, 3}, {1, 2, 3, 5}, {1, 2, 3, 5, 6}, {0, 1, 2, 3, 5, 6}} {
+		kept := roomiest(by, most)
+		assert.Len(t, kept, len(want))
+		for _, i := range want {
+			assert.True(t, kept[by[i].n], "%d of the %d", i, most)
+		}
+	}
+	assert.Len(t, roomiest(by, 9), 7)
+	assert.Empty(t, roomiest(nil, 1))
+}
