Tell a node's word on an earlier bind from that on the last, and an address taken over

Cause: read for races at the crossings. What a node says was told apart by node and tag alone (nodes.go, fromNode): after a time-out on a silent connection and a second bind to the same node, its late yes to the first answered the owner, and the end that our give-up made ended the copy that stands. Change: a node speaks of a bind on the connection of its set-up while that stands; whoever had an address before is no more once another node has it. Result: both tests fail without the change.

--- a/internal/platform/journal.go
+++ b/internal/platform/journal.go
@@ -172,7 +172,8 @@
 		listed[entry.ID] = true
 		moved := n.addr != "" && n.addr != ends[i].Address
 		restarted := n.listed && n.entry.Born != entry.Born
-		n.entry, n.addr, n.listed = entry, ends[i].Address, true
+		n.entry, n.listed = entry, true
+		p.settleAt(now, n, ends[i].Address)
 		if moved {
 			p.hangUp(now, n, "the node's address has changed")
 		}
@@ -196,3 +197,21 @@
 		}
 	}
 }
+
+// settleAt gives a node its address. Whoever had it before is no more, also where the list is yet to say so: a bind for it
+// must not reach the one that is there now.
+func (p *Platform) settleAt(now choice.Millis, n *node, addr string) {
+	if n.entry.State == choice.Gone {
+		return
+	}
+	if p.addrs[n.addr] == n {
+		delete(p.addrs, n.addr)
+	}
+	before := p.addrs[addr]
+	n.addr, p.addrs[addr] = addr, n
+	if before != nil && before != n {
+		before.addr = ""
+		p.hangUp(now, before, "another node has its address")
+		p.dead(now, before)
+	}
+}
--- a/internal/platform/nodes.go
+++ b/internal/platform/nodes.go
@@ -55,6 +55,9 @@
 	}
 	delete(p.nodes, n.id)
 	delete(p.byName, n.name)
+	if p.addrs[n.addr] == n {
+		delete(p.addrs, n.addr)
+	}
 	p.hangUp(now, n, "the node is gone")
 	n.answerWaiting(nil)
 }
@@ -245,7 +248,7 @@
 		return
 	}
 	wl := p.tags[m.Tag]
-	if wl != nil && wl.node != n {
+	if wl != nil && !p.tellsOf(wl, c) {
 		wl = nil
 	}
 	switch {
@@ -284,6 +287,16 @@
 	p.retire(c)
 }
 
+// tellsOf tells whether what comes on a connection is about the last bind of a workload. A node speaks of it on the connection
+// of its set-up; on another one only once that is no more. What else comes is about an earlier bind to the same node
+// that was given up: its answer, or the end that our give-up made.
+func (p *Platform) tellsOf(wl *workload, c *conn) bool {
+	if wl.node != c.node {
+		return false
+	}
+	return wl.on == c || wl.on == nil || !wl.out && p.conns[wl.on.id] != wl.on
+}
+
 // resultOf says what a cause means for a bind that is out.
 func resultOf(c wire.Cause) choice.ResultKind {
 	switch c {
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -96,6 +96,7 @@
 	groups map[string]choice.GroupID
 	nodes  map[choice.NodeID]*node
 	byName map[string]*node
+	addrs  map[string]*node // by address
 	probes map[wire.Tag]choice.NodeID
 	probe  wire.Tag
 
@@ -126,7 +127,7 @@
 	p := &Platform{
 		c: c, log: log, conns: map[link.ConnID]*conn{}, wls: map[choice.WorkloadID]*workload{},
 		tags: map[wire.Tag]*workload{}, groups: map[string]choice.GroupID{}, nodes: map[choice.NodeID]*node{},
-		byName: map[string]*node{}, probes: map[wire.Tag]choice.NodeID{},
+		byName: map[string]*node{}, addrs: map[string]*node{}, probes: map[wire.Tag]choice.NodeID{},
 		wall: func() choice.Millis { return choice.Millis(float64(time.Now().UnixNano()) / 1e6) },
 	}
 	for i, name := range c.Told.Groups {
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -372,3 +372,155 @@
 	assert.Equal(t, 2, dials-int(r.Counts.Probes), "one that finds nobody, and one that shows that it stays so")
 	assert.Equal(t, []string{"STARTED", "FINISH 41"}, r.heard(r.owner, 7))
 }
+
+// What a node says of a bind that was given up is not taken for the next one there: neither its answer nor its end. It guards
+// against nodes that were silent and then say all at once; it could harm if a node spoke on any connection it likes.
+func TestWhatIsSaidOfAnEarlierBindIsNotTakenForTheLast(t *testing.T) {
+	r := newRig(t)
+	r.pass(50)
+	r.says(r.owner, ask(7, "left", "6000"))
+	for len(r.heard(r.node, 7)) < 2 {
+		r.pass(50)
+	}
+	second := r.w.to(nodeAddr)
+	require.Greater(t, second, r.node, "the first swallowed a bind")
+	r.Opened(r.at, second)
+	for range 100 {
+		if r.pass(50); len(r.heard(second, 7)) > 0 {
+			break
+		}
+	}
+	require.Equal(t, []string{"START"}, r.heard(second, 7))
+	require.NotNil(t, r.conns[r.node])
+	r.says(r.node, started(7))
+	assert.Empty(t, r.heard(r.owner, 7))
+	r.says(second, started(7))
+	r.says(r.node, finish(7, wire.Cancelled))
+	assert.Equal(t, []string{"STARTED"}, r.heard(r.owner, 7))
+	r.says(second, finish(7, wire.Well))
+	assert.Equal(t, []string{"STARTED", "FINISH 16"}, r.heard(r.owner, 7))
+}
+
+// A node that answers twice, or whose answer comes together with the end of its connection, has answered once.
+func TestAnAnswerThatComesTwiceOrWithAResetCountsOnce(t *testing.T) {
+	r := newRig(t)
+	r.says(r.owner, ask(7))
+	r.says(r.node, started(7))
+	r.says(r.node, started(7))
+	r.Closed(r.at, r.node, "reset")
+	assert.Equal(t, []string{"STARTED"}, r.heard(r.owner, 7))
+	r.pass(200)
+	again := r.w.to(nodeAddr)
+	r.Opened(r.at, again)
+	r.says(again, finish(7, wire.Well))
+	assert.Equal(t, []string{"STARTED", "FINISH 16"}, r.heard(r.owner, 7), "on the next connection")
+}
+
+// A bind that waits for its node's connection leaves neither for an owner that has gone nor to a node that drains.
+func TestABindThatWaitsForItsConnectionLeavesOnlyIfStillWanted(t *testing.T) {
+	for name, meanwhile := range map[string]func(r *rig, n *node){
+		"its owner has gone":    func(r *rig, _ *node) { r.Closed(r.at, r.owner, "closed") },
+		"its owner gives it up": func(r *rig, _ *node) { r.says(r.owner, finish(7, wire.Well)) },
+		"the node drains": func(r *rig, n *node) {
+			r.Received(r.at, r.w.to(journalAddr), &wire.News{Events: []wire.Event{{ID: 3, Data: listOf(3, "Terminating", 0)}}})
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t)
+			r.Closed(r.at, r.node, "closed")
+			r.says(r.owner, ask(7))
+			dialled := r.w.to(nodeAddr)
+			require.Greater(t, dialled, r.node)
+			meanwhile(r, r.byName["s-01"])
+			r.Opened(r.at, dialled)
+			assert.Empty(t, r.heard(dialled, 7))
+			assert.Zero(t, r.pending)
+		})
+	}
+}
+
+// What stands is told before the first list names its node: it is dialled as soon as the list does.
+func TestWhatStandsOnANodeThatIsNotListedYetIsHeardOf(t *testing.T) {
+	r := newRig(t)
+	r.says(r.owner, ask(7, "extras", "cores:1;memory:2;service:07;at:m-00"))
+	r.pass(100)
+	r.listNodes(1)
+	c := r.w.to("127.0.1.0:5080")
+	require.NotZero(t, c)
+	r.Opened(r.at, c)
+	r.says(c, finish(7, wire.Well))
+	assert.Equal(t, []string{"FINISH 16"}, r.heard(r.owner, 7))
+}
+
+// A journal service that moves twice is followed at its last address, from the last whole event on; what the old one
+// still has on its way is told by the new one, and a drain told at once is kept.
+func TestAReloadIsFollowedByWhatTheNewServiceTells(t *testing.T) {
+	r := newRig(t)
+	old := r.w.to(journalAddr)
+	r.Reload(r.at, "127.0.0.7:7070")
+	r.Reload(r.at, "127.0.0.6:7070")
+	last := r.w.to("127.0.0.6:7070")
+	assert.True(t, r.w.closed[old])
+	assert.True(t, r.w.closed[r.w.to("127.0.0.7:7070")])
+	r.Opened(r.at, last)
+	assert.Equal(t, []any{wire.Follow{Host: "127.0.0.6:7070", After: 1}}, r.w.sent[last])
+	drain := &wire.News{Events: []wire.Event{{ID: 2, Data: listOf(2, "Terminating", 0)}}}
+	r.Received(r.at, old, &wire.News{Events: []wire.Event{{ID: 5, Data: listOf(5, "Ready", 0)}}})
+	r.Received(r.at, last, drain)
+	r.says(r.owner, ask(7))
+	assert.Empty(t, r.heard(r.node, 7))
+	assert.Equal(t, []string{"FINISH 34"}, r.heard(r.owner, 7))
+}
+
+// A whole list that comes late replaces what was known: what it does not name is gone, and what stood there is over.
+func TestAWholeListThatComesLateReplacesWhatWasKnown(t *testing.T) {
+	r := newRig(t)
+	r.listNodes(2)
+	r.says(r.owner, ask(7, "extras", "cores:1;memory:2;service:07;at:m-01"))
+	whole := fmt.Sprintf(`{"hosts":{"snapshot":true,"endpoints":[{"name":"s-01","address":%q,"zone":"z","type":"small","status":"Ready","room":[20,40]}]}}`, nodeAddr)
+	r.Received(r.at, r.w.to(journalAddr), &wire.News{Events: []wire.Event{{ID: 9, Data: []byte(whole)}}})
+	assert.Equal(t, []string{"FINISH 41"}, r.heard(r.owner, 7))
+	assert.Nil(t, r.byName["m-01"])
+	assert.NotNil(t, r.byName["s-01"])
+	r.Received(r.at, r.w.to(journalAddr), &wire.News{Events: []wire.Event{{ID: 8, Data: listOf(8, "Gone", 0)}}})
+	assert.Equal(t, choice.Ready, r.byName["s-01"].entry.State, "an earlier number revives nothing and ends nothing")
+}
+
+// A release that waits for its node's connection is sent before the process leaves, or given up after a while.
+func TestAReleaseThatWaitsHoldsTheEndUpForAWhile(t *testing.T) {
+	for _, comesUp := range []bool{true, false} {
+		r := newRig(t)
+		r.says(r.owner, ask(7))
+		r.says(r.node, started(7))
+		r.Stop(r.at)
+		r.Closed(r.at, r.node, "reset")
+		r.says(r.owner, finish(7, wire.Well))
+		r.pass(drainFor + 50)
+		assert.False(t, r.Stopped(r.at))
+		if comesUp {
+			r.Opened(r.at, r.w.to(nodeAddr))
+			assert.Equal(t, []string{"FINISH 16"}, r.heard(r.w.to(nodeAddr), 7))
+		} else {
+			r.pass(leaveWithin)
+		}
+		assert.True(t, r.Stopped(r.at))
+	}
+}
+
+// A new node at the address of one that the list still names: the old one's binds must not reach it, and what stood on the old
+// one is over. It guards against lists that are behind; it could harm if two nodes really shared an address.
+func TestANodeThatTakesOverAnAddressEndsTheOneBefore(t *testing.T) {
+	r := newRig(t)
+	r.says(r.owner, ask(7))
+	r.says(r.node, started(7))
+	data := fmt.Sprintf(`{"hosts":{"endpoints":[{"name":"s-02","address":%q,"zone":"z","type":"small","status":"Ready","room":[0,0]}]}}`, nodeAddr)
+	r.Received(r.at, r.w.to(journalAddr), &wire.News{Events: []wire.Event{{ID: 2, Data: []byte(data)}}})
+	assert.Equal(t, []string{"STARTED", "FINISH 41"}, r.heard(r.owner, 7))
+	assert.True(t, r.w.closed[r.node])
+	r.says(r.owner, ask(8))
+	assert.Equal(t, r.node, r.w.to(nodeAddr), "nobody is dialled there for the old one")
+	assert.Equal(t, []string{"FINISH 34"}, r.heard(r.owner, 8))
+	r.Received(r.at, r.w.to(journalAddr), &wire.News{Events: []wire.Event{{ID: 3, Data: listOf(3, "Gone", 0)}}})
+	assert.NotNil(t, r.byName["s-02"])
+	assert.Equal(t, r.byName["s-02"], r.addrs[nodeAddr])
+}
