Hear an end on any connection of its node, but where a bind was given up

Ruled out: a release that did not leave (n2 never had the end to pass on). Lines: nodes.go, tellsOf, of. Change: only what comes on a connection on which a bind of that workload was given up is about an earlier bind. The test fails without it.

--- a/internal/platform/nodes.go
+++ b/internal/platform/nodes.go
@@ -2,6 +2,7 @@
 
 import (
 	"hash/fnv"
+	"slices"
 	"strconv"
 
 	"grebeglade/choice"
@@ -182,6 +183,7 @@
 	c, out := wl.on, wl.out
 	p.unbind(wl)
 	if out {
+		wl.gaveUp = append(wl.gaveUp, c.id)
 		p.net.Send(c.id, wire.Message{Verb: wire.Finish, Tag: wl.tag}.With(wire.Well))
 	}
 	if timedOut {
@@ -288,13 +290,10 @@
 }
 
 // tellsOf tells whether what comes on a connection is about the last bind of a workload. A node speaks of it on the connection
-// of its set-up; on another one only once that is no more. What else comes is about an earlier bind to the same node
-// that was given up: its answer, or the end that our give-up made.
+// of its set-up, or on another one if that is no more to it, which we may not know. Where an earlier bind to the same
+// node was given up, what comes is about that one: its answer, or the end that our give-up made.
 func (p *Platform) tellsOf(wl *workload, c *conn) bool {
-	if wl.node != c.node {
-		return false
-	}
-	return wl.on == c || wl.on == nil || !wl.out && p.conns[wl.on.id] != wl.on
+	return wl.node == c.node && (wl.on == c || !slices.Contains(wl.gaveUp, c.id))
 }
 
 // resultOf says what a cause means for a bind that is out.
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -46,8 +46,9 @@
 	from   link.ConnID
 	bind   int // number of the last one
 	node   *node
-	on     *conn // to the node, of the last bind
-	out    bool  // its bind has left and has no end
+	on     *conn         // to the node, of the last bind
+	out    bool          // its bind has left and has no end
+	gaveUp []link.ConnID // to nodes, on which binds were given up
 	sentAt choice.Millis
 	answer *string // description of the node's answer
 	stands choice.Millis
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -524,3 +524,22 @@
 	assert.NotNil(t, r.byName["s-02"])
 	assert.Equal(t, r.byName["s-02"], r.addrs[nodeAddr])
 }
+
+// A node that has lost a connection which still stands for us tells an end on another one: its owner is told. It guards
+// against an end that is passed over since it does not come where its set-up went.
+func TestAnEndIsHeardOnAnyConnectionOfItsNode(t *testing.T) {
+	r := newRig(t)
+	r.pass(50)
+	r.says(r.owner, ask(7))
+	r.says(r.node, started(7))
+	r.pass(50)
+	r.says(r.owner, ask(8))
+	for r.w.to(nodeAddr) == r.node {
+		r.pass(50)
+	}
+	second := r.w.to(nodeAddr) // the first swallowed a bind
+	r.Opened(r.at, second)
+	require.NotNil(t, r.conns[r.node])
+	r.says(second, finish(7, wire.Well))
+	assert.Equal(t, []string{"STARTED", "FINISH 16"}, r.heard(r.owner, 7))
+}
