Keep the connection of an owner with much that stands before those who ask once

Ruled out: nodes' descriptors (342 of 576), memory (7 of 72 MB), ends that did not come from nodes (each was sent on). Lines: owners.go, makeRoom and tellOwner. Change: of connections with nothing open, those of which least was placed or taken over go first; ends without their connection are told on the one of which most was placed. The test fails without it.

--- a/internal/platform/owners.go
+++ b/internal/platform/owners.go
@@ -27,22 +27,34 @@
 	})
 }
 
-// makeRoom ends the owner's connection that is least missed: one that never spoke before one that has no set-up
-// open, and of these the one longest silent. It guards against owners that open connections and keep them. Where
-// all carry set-ups, the new one goes.
+// makeRoom ends the owner's connection that is least missed, of those with no set-up open: one that never spoke before one
+// of which nothing was placed, that before one of which something was, and of these the one longest silent. It guards
+// against owners that open connections and keep them, by the thousand. Where all carry set-ups, the new one goes.
 func (p *Platform) makeRoom(now choice.Millis, latest *conn) {
-	least := latest
+	var least *conn
 	for _, c := range p.conns {
-		switch {
-		case c.node != nil || c == latest || len(c.open) > 0:
-		case least == latest, least.spoke && !c.spoke, least.spoke == c.spoke &&
-			(c.heard < least.heard || c.heard == least.heard && c.id < least.id):
+		if c.node == nil && c != latest && len(c.open) == 0 && (least == nil || lessMissed(c, least)) {
 			least = c
 		}
 	}
+	if least == nil {
+		least = latest
+	}
 	p.drop(now, least, "others need the room")
 }
 
+func lessMissed(x, y *conn) bool {
+	switch {
+	case x.spoke != y.spoke:
+		return y.spoke
+	case x.placed != y.placed:
+		return x.placed < y.placed
+	case x.heard != y.heard:
+		return x.heard < y.heard
+	}
+	return x.id < y.id
+}
+
 // ownerClosed withdraws what an owner's connection had open: no answer can reach it any more.
 func (p *Platform) ownerClosed(now choice.Millis, c *conn) {
 	p.owners--
@@ -127,6 +139,7 @@
 	}
 	p.wls[w.ID], p.tags[m.Tag] = wl, wl
 	if at != "" {
+		c.placed++
 		p.adopt(now, wl, w, at)
 		return
 	}
@@ -210,21 +223,21 @@
 	return n, nil
 }
 
-// tellOwner sends on the connection that a workload came on, else on the one of an owner that was served and was heard
-// of last; without any it waits for one.
+// tellOwner sends on the connection that a workload came on, else on the one of which most was placed, as that is an owner's
+// who stays, and not one's who asked once; without any it waits for one.
 func (p *Platform) tellOwner(wl *workload, m *wire.Message) {
 	if p.conns[wl.from] != nil {
 		p.net.Send(wl.from, m)
 		return
 	}
-	var last *conn
+	var most *conn
 	for _, c := range p.conns {
-		if c.node == nil && c.served && (last == nil || c.heard > last.heard || c.heard == last.heard && c.id > last.id) {
-			last = c
+		if c.node == nil && c.placed > 0 && (most == nil || lessMissed(most, c)) {
+			most = c
 		}
 	}
-	if last != nil {
-		p.net.Send(last.id, m)
+	if most != nil {
+		p.net.Send(most.id, m)
 		return
 	}
 	if len(p.over) >= keepOver {
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -65,7 +65,7 @@
 	opened bool
 	spoke  bool          // a whole message came
 	used   choice.Millis // when something was last sent to the node
-	served bool          // a workload of its owner was placed
+	placed int           // workloads of its owner that were placed
 	heard  choice.Millis
 	open   map[choice.WorkloadID]*workload // set-ups that have no answer here
 }
@@ -341,7 +341,7 @@
 	case allocator.Placed:
 		p.Counts.Placed++
 		if c != nil {
-			c.served = true
+			c.placed++
 		}
 		p.net.Send(wl.from, &wire.Message{Verb: wire.Started, Tag: wl.tag, Description: wl.answer})
 	case allocator.Rejected:
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -543,3 +543,32 @@
 	r.says(second, finish(7, wire.Well))
 	assert.Equal(t, []string{"STARTED", "FINISH 16"}, r.heard(r.owner, 7))
 }
+
+// Clients that ask once and stay, by the thousand, neither push out the connection of an owner with much that stands, also
+// where it was silent for longer, nor are told the ends of its workloads. It could harm an owner of whom little was placed.
+func TestAnOwnerWithMuchPlacedOutlastsThoseWhoAskOnce(t *testing.T) {
+	r := newRig(t)
+	gone := link.ConnID(1999)
+	r.Opened(r.at, gone)
+	r.says(gone, ask(6))
+	r.says(r.node, started(6))
+	for tag := wire.Tag(7); tag < 9; tag++ {
+		r.says(r.owner, ask(tag))
+		r.says(r.node, started(tag))
+	}
+	r.Closed(r.at, gone, "closed")
+	for i := range 100 {
+		r.pass(20)
+		c, tag := link.ConnID(2000+i), wire.Tag(100+i)
+		r.Opened(r.at, c)
+		r.says(c, ask(tag))
+		r.says(r.node, started(tag))
+		r.says(r.node, finish(tag, wire.Well))
+	}
+	assert.False(t, r.w.closed[r.owner])
+	assert.LessOrEqual(t, r.owners, r.mostOwners())
+	r.says(r.node, finish(6, wire.Well))
+	r.says(r.node, finish(7, wire.Well))
+	assert.Equal(t, []string{"FINISH 16"}, r.heard(r.owner, 6))
+	assert.Equal(t, []string{"STARTED", "FINISH 16"}, r.heard(r.owner, 7))
+}
