--- a/internal/platform/pool.go
+++ b/internal/platform/pool.go
@@ -17,9 +17,9 @@
 	idleShare     = 0.9                 // of the settings' idle time, so that no set-up crosses the node's own close
 )
 
-// keptDescriptors are those for neither owners nor nodes: 3 standard files, the listener, 6 of event loops, the journal
-// service's connection, the configuration read anew, and the second one that a connection holds while it is handed to its
-// event loop, with some to spare. An event loop that cannot accept for want of a descriptor ends for good.
+// keptDescriptors are those for neither owners nor nodes: 3 standard files, the listener, 8 of event loops and the runtime,
+// the journal service's connection, the configuration read anew, and the second ones that up to 4 connections hold while
+// they are handed to their event loops.
 const keptDescriptors = 18
 
 // mostToNodes bounds connections to nodes, those being dialled among them.
