--- a/internal/link/loop.go
+++ b/internal/link/loop.go
@@ -568,8 +568,10 @@
 
 // enrol hands a connection that stands to the event loop.
 func (a *actor) enrol(c net.Conn, s *sock) error {
-	a.enrols <- struct{}{}
-	defer func() { <-a.enrols }()
+	if s.lane != ahead { // which does not queue behind hundreds of others at a start
+		a.enrols <- struct{}{}
+		defer func() { <-a.enrols }()
+	}
 	client, err := a.client(s.lane)
 	if err != nil {
 		return err
--- a/internal/platform/journal.go
+++ b/internal/platform/journal.go
@@ -17,6 +17,8 @@
 	followWithin = choice.Millis(500)  // ms for a connection to it
 	followFirst  = choice.Millis(50)   // ms before it is dialled again
 	followMost   = choice.Millis(500)  // ms, in the end: what it has to tell counts as told 2 s after a break
+	readyAfter   = choice.Millis(50)   // ms after the service's first word by which what was missed has come
+	readyMost    = choice.Millis(500)  // ms after the start by which tests pass also where the service is not heard
 	mostSpoilt   = 3                   // times that one event is asked for again, if it cannot be read
 )
 
@@ -79,6 +81,11 @@
 func (p *Platform) heardNews(now choice.Millis, news *wire.News) {
 	j := &p.journal
 	j.heard = now
+	if len(news.Events) == 0 {
+		p.timers.At(now+readyAfter, p.getReady)
+	} else {
+		defer p.getReady(now)
+	}
 	for _, e := range news.Events {
 		if e.ID <= j.pos {
 			continue // told before
@@ -215,3 +222,14 @@
 		p.dead(now, before)
 	}
 }
+
+// getReady answers the tests that came before the journal service was heard: what it told between the configuration and the
+// start counts as told, so nothing may be asked of us, and placed by a list that is behind, before that.
+func (p *Platform) getReady(now choice.Millis) {
+	p.ready = true
+	tests := p.tests
+	p.tests = nil
+	for _, answer := range tests {
+		answer(now)
+	}
+}
--- a/internal/platform/owners.go
+++ b/internal/platform/owners.go
@@ -82,11 +82,18 @@
 		// What stands is ended on any connection; what is pending only where it was asked.
 		p.withdraw(now, wl)
 	case wire.Echo:
-		verdict := wire.Passed
-		if p.stopping {
-			verdict = wire.Failed
+		answer := func(choice.Millis) {
+			verdict := wire.Passed
+			if p.stopping {
+				verdict = wire.Failed
+			}
+			p.net.Send(c.id, wire.Message{Verb: wire.Echoed, Tag: m.Tag}.With(verdict))
+		}
+		if p.ready || p.stopping || len(p.tests) >= keepTests {
+			answer(now)
+		} else {
+			p.tests = append(p.tests, answer)
 		}
-		p.net.Send(c.id, wire.Message{Verb: wire.Echoed, Tag: m.Tag}.With(verdict))
 	case wire.Pending, wire.Finished, wire.Notice, wire.Echoed:
 	default:
 		p.bad(now, c, m.Tag, fmt.Errorf("an owner may not send %v", m.Verb))
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -26,6 +26,7 @@
 	leaveWithin = choice.Millis(1000) // ms after that for releases that wait; the platform gives 3.7 s from SIGTERM on at least
 	endGrace    = choice.Millis(3000) // ms that a node may take to confirm an end that we sent it
 	pulse       = choice.Millis(1000) // ms between wake-ups at least
+	keepTests   = 64                  // tests that wait until we are ready
 	keepOver    = 4096                // releases that wait for a connection to an owner
 	heldPerMB   = 64                  // workloads held for each MB of memory: a few KB each, with their descriptions
 )
@@ -102,6 +103,8 @@
 	probe  wire.Tag
 
 	journal  journal
+	ready    bool                      // the journal service was heard, or has had its time
+	tests    []func(now choice.Millis) // that wait until we are ready
 	stopping bool
 	stopAt   choice.Millis
 	draws    uint64
@@ -158,6 +161,7 @@
 	p.c.Known = nil
 	p.engine.Start(now)
 	p.dialJournal(now)
+	p.timers.At(now+readyMost, p.getReady)
 	p.settle(now)
 }
 
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -572,3 +572,26 @@
 	assert.Equal(t, []string{"FINISH 16"}, r.heard(r.owner, 6))
 	assert.Equal(t, []string{"STARTED", "FINISH 16"}, r.heard(r.owner, 7))
 }
+
+// A test passes once the journal service was heard, so that nothing is placed by what the configuration knew before the
+// start: a drain told in between counts. Where the service is not heard it passes all the same, a little later.
+func TestATestPassesOnceTheJournalWasHeard(t *testing.T) {
+	test := wire.Message{Verb: wire.Echo, Tag: 1}.With(wire.Failed)
+	for name, hear := range map[string]func(r *rig){
+		"what was missed": func(r *rig) {
+			r.Received(r.at, r.w.to(journalAddr), &wire.News{Events: []wire.Event{{ID: 2, Data: listOf(2, "Terminating", 0)}}})
+		},
+		"that nothing was": func(r *rig) { r.Received(r.at, r.w.to(journalAddr), &wire.News{}); r.pass(readyAfter + 10) },
+		"nothing":          func(r *rig) { r.pass(readyMost) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t)
+			r.says(r.owner, test)
+			assert.Empty(t, r.w.sent[r.owner])
+			hear(r)
+			require.Len(t, r.w.sent[r.owner], 1)
+			assert.Equal(t, wire.Passed, r.w.sent[r.owner][0].(*wire.Message).Cause)
+			assert.Empty(t, r.tests)
+		})
+	}
+}
