Make two tests of the link fail without what they guard

Cause: taken out change by change, TestABusyPartyAnswersAsItGoes still passed: the sample ask has eight answers, so the test read another one to the first ask. TestWhatWasReadBeforeTheEndIsAnswered read two of sixteen. Change: one answer each in the first; all answers are read in the second. Nothing that runs has changed.

--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -362,7 +362,7 @@
 	go func() { l.Close(); close(closed) }()
 	<-l.actors[h].stop
 	close(h.goOn)
-	for range 2 {
+	for range 2 * sample().GetAsk().Key { // so many answers to each
 		f, err := read(t, c)
 		require.NoError(t, err)
 		assert.Equal(t, uint64(7), f.GetAnswer().Ask)
@@ -496,10 +496,12 @@
 	l.Run()
 	t.Cleanup(l.Close)
 	c := dial(t, addr)
-	write(t, c, sample())
+	once := sample()
+	once.GetAsk().Key = 1 // one answer each
+	write(t, c, once)
 	<-busy.seen
-	write(t, c, sample())
-	write(t, c, sample())
+	write(t, c, once)
+	write(t, c, once)
 	l.waitFor(t, busy, 2)
 	busy.goOn <- struct{}{}
 	_, err = read(t, c)
@@ -508,6 +510,7 @@
 	time.Sleep(2 * time.Millisecond) // longer than a party may be busy until what it sent leaves
 	busy.goOn <- struct{}{}
 	<-busy.seen // it is still in the batch of the second
+	require.NoError(t, c.SetReadDeadline(time.Now().Add(5*time.Second)))
 	_, err = read(t, c)
 	assert.NoError(t, err, "the second answer leaves before the third ask is done with")
 	busy.goOn <- struct{}{}
