--- a/review/_stand/allocator.go
+++ b/review/_stand/allocator.go
@@ -54,7 +54,6 @@
 		"name":     "n1",
 		"listen":   listen,
 		"journal":  journal,
-		"limits":   map[string]any{"cores": 1.0, "memory_mb": 192, "sockets": 1024},
 		"settings": json.RawMessage(settings),
 	}}, nil
 }
--- a/review/_stand/main.go
+++ b/review/_stand/main.go
@@ -37,7 +37,7 @@
 }
 
 // newWorld starts hosts, journal and allocator, and waits until the allocator passes a test.
-func newWorld(r *record, dir string, hosts int) (*world, error) {
+func newWorld(r *record, dir string, hosts, memoryMB int) (*world, error) {
 	w := &world{record: r, dir: dir}
 	for i := range hosts {
 		h, err := newHost(r, fmt.Sprintf("s-%08x", 0x00c41f7a+i))
@@ -53,6 +53,7 @@
 	if w.alloc, err = newAllocator(r, dir, w.feed.addr); err != nil {
 		return nil, err
 	}
+	w.alloc.config["limits"] = map[string]any{"cores": 1.0, "memory_mb": memoryMB, "sockets": 1024}
 	w.owners = newOwners(r, w.alloc.listen)
 	if err := w.alloc.start(w.feed.known()); err != nil {
 		return w, err
@@ -131,8 +132,12 @@
 		return 2
 	}
 	defer os.RemoveAll(dir)
+	memory := 192
+	if name == "flood" {
+		memory = memoryLimit
+	}
 	r.add("case %s, with the disruption: %v", name, trouble)
-	w, err := newWorld(r, dir, 4)
+	w, err := newWorld(r, dir, 4, memory)
 	if w != nil && w.alloc != nil {
 		defer w.alloc.kill()
 	}
--- a/review/_stand/owner.go
+++ b/review/_stand/owner.go
@@ -90,12 +90,22 @@
 	o.record.add("owner %s: the connection has ended", c.name)
 }
 
+// send records a line and writes it.
 func (c *ownerConn) send(l line) error {
 	text, err := json.Marshal(l)
 	if err != nil {
 		return fmt.Errorf("encode a line: %w", err)
 	}
 	c.owners.record.add("owner %s: sends %s", c.name, text)
+	return c.write(l)
+}
+
+// write writes a line.
+func (c *ownerConn) write(l line) error {
+	text, err := json.Marshal(l)
+	if err != nil {
+		return fmt.Errorf("encode a line: %w", err)
+	}
 	if _, err := c.Write(append(text, '\n')); err != nil {
 		return fmt.Errorf("send to the allocator: %w", err)
 	}
