Review, case 3: hand-overs of unknown ids fill the memory; a report

Case 3 is now that of bad clients that hand over tasks with ids that no host knows: each is held for good and without a limit.

--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -3,4 +3,4 @@
 # TROUBLE=0 plays it without the disruption.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x bin/grebeglade ] && [ -x review/bin/stand ] || { echo "run the deploy file's build and review/build.sh first"; exit 2; }
-exec review/bin/stand -case forget -record review/3/record.txt
+exec review/bin/stand -case flood -record review/3/record.txt
--- a/review/_stand/discovery.go
+++ b/review/_stand/discovery.go
@@ -20,14 +20,12 @@
 // journal is a stand-in for the discovery service: the journal service of the users' pages.
 type journal struct {
 	record *record
-	ln     net.Listener
 	addr   string
 
 	mu      sync.Mutex
 	events  []journalEvent
 	changed *sync.Cond
-	slow    time.Duration // how long the service takes to write one event; 0 for at once
-	conns   map[net.Conn]bool
+	rate    int // bytes of an event that the service writes a second; 0 for no limit
 }
 
 // newJournal starts the service with the whole list as the first event.
@@ -36,7 +34,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("start the journal: %w", err)
 	}
-	j := &journal{record: r, ln: ln, addr: ln.Addr().String(), conns: map[net.Conn]bool{}}
+	j := &journal{record: r, addr: ln.Addr().String()}
 	j.changed = sync.NewCond(&j.mu)
 	entries := make([]map[string]any, 0, len(hosts))
 	for _, h := range hosts {
@@ -60,7 +58,7 @@
 		panic(err) // the entries are made of plain values
 	}
 	j.events = append(j.events, journalEvent{pos: pos, data: data})
-	j.record.add("journal: event %d is in the journal: %s", pos, data)
+	j.record.add("journal: event %d is in the journal: %.200s", pos, data)
 	j.changed.Broadcast()
 }
 
@@ -75,12 +73,12 @@
 	return map[string]any{"pos": len(j.events), "entries": entries}
 }
 
-// setSlow sets how long the service takes to write one event.
-func (j *journal) setSlow(slow time.Duration) {
+// setRate sets how many bytes of an event the service writes a second.
+func (j *journal) setRate(rate int) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	j.slow = slow
-	j.record.add("journal: takes %v to write an event from now on", slow)
+	j.rate = rate
+	j.record.add("journal: is crowded, and writes %d bytes a second from now on", rate)
 }
 
 func (j *journal) serve(ln net.Listener) {
@@ -125,9 +123,9 @@
 	comments := time.NewTicker(time.Second)
 	defer comments.Stop()
 	for {
-		event, slow, ok := j.next(last)
+		event, rate, ok := j.next(last)
 		if ok {
-			if j.write(conn, event, slow, closed) != nil {
+			if j.write(conn, event, rate, closed) != nil {
 				return
 			}
 			last = event.pos
@@ -146,38 +144,45 @@
 }
 
 // next returns the first event after the given number.
-func (j *journal) next(after int) (event journalEvent, slow time.Duration, ok bool) {
+func (j *journal) next(after int) (event journalEvent, rate int, ok bool) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	if after >= len(j.events) {
 		return event, 0, false
 	}
-	return j.events[after], j.slow, true
+	return j.events[after], j.rate, true
 }
 
-// write writes an event in small pieces, evenly over the given time.
-func (j *journal) write(conn net.Conn, event journalEvent, slow time.Duration, closed chan struct{}) error {
+// writeInterval is the time between two writes of a crowded service.
+const writeInterval = 20 * time.Millisecond
+
+// write writes an event, at once or at the given rate.
+func (j *journal) write(conn net.Conn, event journalEvent, rate int, closed chan struct{}) error {
 	text := fmt.Appendf(nil, "id: %d\ndata: %s\n\n", event.pos, event.data)
+	size := len(text)
+	piece := size
+	if rate > 0 {
+		piece = max(1, int(float64(rate)*writeInterval.Seconds()))
+	}
 	started := time.Now()
-	const pieces = 50
-	for i := range pieces {
-		from, to := len(text)*i/pieces, len(text)*(i+1)/pieces
-		if _, err := conn.Write(text[from:to]); err != nil {
-			j.record.add("journal: event %d was cut off by the allocator after %v", event.pos, time.Since(started))
+	for len(text) > 0 {
+		n := min(piece, len(text))
+		if _, err := conn.Write(text[:n]); err != nil {
 			return fmt.Errorf("write an event: %w", err)
 		}
-		if slow > 0 {
-			select {
-			case <-closed:
-				j.record.add("journal: the allocator closed %v into event %d", time.Since(started), event.pos)
-				return net.ErrClosed
-			case <-time.After(slow / pieces):
-			}
+		text = text[n:]
+		if len(text) == 0 {
+			break
+		}
+		select {
+		case <-closed:
+			j.record.add("journal: the allocator closed %v into event %d, with %d of %d bytes written",
+				time.Since(started).Round(time.Millisecond), event.pos, size-len(text), size)
+			return net.ErrClosed
+		case <-time.After(writeInterval):
 		}
 	}
-	j.record.add("journal: event %d was written whole in %v", event.pos, time.Since(started).Round(time.Millisecond))
+	j.record.add("journal: event %d of %d bytes was written whole in %v", event.pos, size,
+		time.Since(started).Round(time.Millisecond))
 	return nil
 }
-
-// stop ends the service.
-func (j *journal) stop() { _ = j.ln.Close() }
--- a/review/_stand/flood.go
+++ b/review/_stand/flood.go
@@ -9,7 +9,7 @@
 	"time"
 )
 
-func init() { cases["flood"] = flood }
+func init() { cases["flood"] = play{run: flood, memoryMB: memoryLimit} }
 
 // memoryLimit is `memory_mb` of the configuration in this case.
 const memoryLimit = 64
--- a/review/_stand/forget.go
+++ b/review/_stand/forget.go
@@ -2,7 +2,7 @@
 
 import "time"
 
-func init() { cases["forget"] = forget }
+func init() { cases["forget"] = play{run: forget} }
 
 // forget: a host forgets its idle connections. A task that stands there ends, and the host has no connection for its
 // release; it would send it on the next one opened.
--- a/review/_stand/main.go
+++ b/review/_stand/main.go
@@ -5,6 +5,7 @@
 package main
 
 import (
+	"cmp"
 	"errors"
 	"flag"
 	"fmt"
@@ -23,8 +24,15 @@
 // errBroken is returned by a case in which the rule was broken.
 var errBroken = errors.New("rule broken")
 
-// cases are the cases by name. trouble is false in the play without the disruption.
-var cases = map[string]func(w *world, trouble bool) error{}
+// play is one case.
+type play struct {
+	run      func(w *world, trouble bool) error // trouble is false in the play without the disruption
+	hosts    int                                // 4 if 0
+	memoryMB int                                // the allocator's memory limit; 192 if 0
+}
+
+// cases are the cases by name.
+var cases = map[string]play{}
 
 // world is what every case plays with.
 type world struct {
@@ -115,7 +123,7 @@
 
 // run plays a case and returns the exit status.
 func run(name, path string, trouble bool) int {
-	play, ok := cases[name]
+	chosen, ok := cases[name]
 	if !ok {
 		fmt.Fprintf(os.Stderr, "there is no case %q\n", name)
 		return 2
@@ -132,17 +140,13 @@
 		return 2
 	}
 	defer os.RemoveAll(dir)
-	memory := 192
-	if name == "flood" {
-		memory = memoryLimit
-	}
 	r.add("case %s, with the disruption: %v", name, trouble)
-	w, err := newWorld(r, dir, 4, memory)
+	w, err := newWorld(r, dir, cmp.Or(chosen.hosts, 4), cmp.Or(chosen.memoryMB, 192))
 	if w != nil && w.alloc != nil {
 		defer w.alloc.kill()
 	}
 	if err == nil {
-		err = play(w, trouble)
+		err = chosen.run(w, trouble)
 	}
 	if err == nil && !w.alloc.running() {
 		err = errors.New("the allocator has ended")
--- a/review/_stand/pause.go
+++ b/review/_stand/pause.go
@@ -6,7 +6,7 @@
 	"time"
 )
 
-func init() { cases["pause"] = standStill }
+func init() { cases["pause"] = play{run: standStill} }
 
 // standStill: a host stands still for half a second, while set-ups of one service arrive. When it goes on, its answers
 // come together.
--- a/review/_stand/resting.go
+++ b/review/_stand/resting.go
@@ -5,7 +5,7 @@
 	"time"
 )
 
-func init() { cases["resting"] = resting }
+func init() { cases["resting"] = play{run: resting} }
 
 // resting: an owner's idle connection is reset. Another one is open throughout: its client asked once, was refused, and
 // keeps it for good. The task of the first connection comes to its end.
