Count bytes against a peer only once they were offered to its socket

What callers saw: a node was silent for 2 s and then sent 33 answers together, 497 KB.

Cause: connection.flush counted bytes that the worker had flushed and the event loop had not yet taken, and closed the connection above MaxWriteBuffer. With one processor the event loop has no turn while the worker handles a batch, so the limit counted the allocator's own delay. The bytes of that flush were dropped with it.

Evidence, by a log line for each flush and write in a copy of the program: 'flush: unwritten=362016', 'unwritten=497772', then 'event loop wrote 135756, socket has not accepted 0' and the close for a slow peer. This excludes the check of the event loop's own buffer, a malformed message, an eviction and a close by the client.

Fix: writeBacklog counts only bytes that the socket did not accept when they were offered to it. That is independent of how many bytes come at once, and bytes for all peers of an event loop are bounded together by MaxTotalWriteBuffer, where before 400 connections could hold 256 KiB each. Clients that do not read are logged and counted.

--- a/internal/frontend/platform/clients.go
+++ b/internal/frontend/platform/clients.go
@@ -1,6 +1,8 @@
 package platform
 
 import (
+	"errors"
+
 	"grebeglade/internal/frontend/platform/codec"
 	"grebeglade/internal/transport"
 	"grebeglade/placement"
@@ -19,6 +21,9 @@
 	firstMessageTimeout = placement.Millis(2000)
 	// maxUndelivered is the maximum number of notifications that wait for a client connection.
 	maxUndelivered = 4096
+	// slowClientLogInterval, in ms, is the minimum time between two warnings about clients that do not read, since clients
+	// could fill the log.
+	slowClientLogInterval = placement.Millis(10e3)
 	// undeliveredTTL, in ms, is how long a notification waits for a client connection before it is dropped.
 	undeliveredTTL = 10 * endGrace
 )
@@ -48,6 +53,9 @@
 	conns       map[transport.ConnID]*clientConn
 	limit       int // maximum number of connections
 	undelivered []notification
+
+	slowLoggedAt placement.Millis // time of the last warning about a client that does not read
+	slowLogged   uint64           // Counters.SlowClients at that warning
 }
 
 // notification is a queued message that waits for a client connection.
@@ -61,6 +69,8 @@
 		environment: env,
 		conns:       map[transport.ConnID]*clientConn{},
 		limit:       env.config.maxClientConns(),
+
+		slowLoggedAt: placement.DistantPast,
 	}
 }
 
@@ -122,6 +132,27 @@
 	cs.closed(now, c)
 }
 
+// lost handles the end of a connection that this side has not closed, or that the transport has closed for the reason.
+func (cs *clientConns) lost(now placement.Millis, c *clientConn, reason error) {
+	cs.log.Debug("client disconnected", "client", c.id, "unanswered", len(c.unanswered), "reason", reason)
+	if errors.Is(reason, transport.ErrSlowPeer) {
+		cs.counters.SlowClients++
+		cs.warnSlow(now, c, reason)
+	}
+	cs.closed(now, c)
+}
+
+// warnSlow logs that a client does not read, at most once per slowClientLogInterval.
+func (cs *clientConns) warnSlow(now placement.Millis, c *clientConn, reason error) {
+	if now-cs.slowLoggedAt < slowClientLogInterval {
+		return
+	}
+	cs.log.Warn("client does not read, connection ended", "client", c.id, "unanswered", len(c.unanswered),
+		"clients", cs.counters.SlowClients-cs.slowLogged, "reason", reason)
+	cs.slowLoggedAt = now
+	cs.slowLogged = cs.counters.SlowClients
+}
+
 // closed removes a closed connection and withdraws its unanswered requests, which can no longer be answered.
 func (cs *clientConns) closed(now placement.Millis, c *clientConn) {
 	delete(cs.conns, c.id)
--- a/internal/frontend/platform/clients_test.go
+++ b/internal/frontend/platform/clients_test.go
@@ -1,6 +1,9 @@
 package platform
 
 import (
+	"fmt"
+	"log/slog"
+	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/assert"
@@ -155,3 +158,25 @@
 	harness.receive(otherConn, request(8))
 	assert.Equal(t, []sentMessage{aTermination(codec.CauseNormal)}, harness.sentAbout(otherConn, 7))
 }
+
+// Guards against answers that are lost without a trace: a client that does not read is counted and logged, and the log
+// cannot be filled by such clients.
+func TestClientConns_ClientsThatDoNotRead_CountedAndLoggedRarely(t *testing.T) {
+	var log strings.Builder
+	harness := newHarness(t)
+	harness.log = slog.New(slog.NewTextHandler(&log, nil))
+	for i := range transport.ConnID(100) {
+		harness.openConn(otherConn + i)
+		harness.receive(otherConn+i, request(codec.Tag(100+i)))
+		harness.closeConn(otherConn+i, fmt.Errorf("%w: write buffer exceeds 1 bytes", transport.ErrSlowPeer))
+	}
+	harness.closeConn(harness.clientConn, errClosed)
+	assert.Equal(t, uint64(100), harness.Counters.SlowClients)
+	assert.Zero(t, harness.workloads.unanswered.Count())
+	assert.Equal(t, 1, strings.Count(log.String(), "client does not read, connection ended"))
+	assert.Contains(t, log.String(), `unanswered=1 clients=1 reason="peer reads too slowly`)
+	harness.advance(slowClientLogInterval)
+	harness.openConn(otherConn)
+	harness.closeConn(otherConn, transport.ErrSlowPeer)
+	assert.Contains(t, log.String(), "unanswered=0 clients=100")
+}
--- a/internal/frontend/platform/frontend.go
+++ b/internal/frontend/platform/frontend.go
@@ -33,9 +33,10 @@
 	endGrace = placement.Millis(3000)
 	// messageTimeout, in ms, is the maximum time between the first and the last byte of a received message.
 	messageTimeout = placement.Millis(1000)
-	// maxWriteBuffer is the maximum number of unwritten bytes per connection. Above it, the connection is closed, since
-	// its peer does not read.
+	// maxWriteBuffer is the number of bytes that may wait for one peer; see transport.Limits.
 	maxWriteBuffer = 256 << 10
+	// writeBufferShare is the share of the memory limit that bytes which wait for all clients, or for all nodes, may use.
+	writeBufferShare = 0.125
 	// maxQueuedEvents is the approximate number of queued events above which connections are not read.
 	maxQueuedEvents = 512
 )
@@ -47,6 +48,9 @@
 	Invalid  uint64 // client connections closed because of an invalid message or no message
 	Lost     uint64 // running workloads that ended because their node's process ended
 	Released uint64 // notifications to clients that a workload ended
+
+	SlowClients uint64 // client connections closed because the client did not read
+	SlowNodes   uint64 // node connections closed because the node did not read
 }
 
 // environment holds what all parts of a Frontend use. It is not shared with the native frontend, which has other
@@ -86,12 +90,13 @@
 // Limits returns the limits that the transport has to apply to the frontend's connections.
 func (f *Frontend) Limits() transport.Limits {
 	return transport.Limits{
-		MaxFrameSize:       codec.MaxMessageSize,
-		MaxWriteBuffer:     maxWriteBuffer,
-		MaxConnections:     f.config.maxClientConns() + extraClientConns,
-		PauseAcceptAtLimit: true,
-		MaxQueuedEvents:    maxQueuedEvents,
-		MessageTimeout:     messageTimeout,
+		MaxFrameSize:        codec.MaxMessageSize,
+		MaxWriteBuffer:      maxWriteBuffer,
+		MaxTotalWriteBuffer: int(writeBufferShare * float64(f.config.Limits.MemoryMB<<20)),
+		MaxConnections:      f.config.maxClientConns() + extraClientConns,
+		PauseAcceptAtLimit:  true,
+		MaxQueuedEvents:     maxQueuedEvents,
+		MessageTimeout:      messageTimeout,
 	}
 }
 
@@ -194,7 +199,7 @@
 		} else if c := f.nodeConns.get(id); c != nil {
 			f.nodeConns.closed(now, c, reason)
 		} else if c := f.clients.get(id); c != nil {
-			f.clients.closed(now, c)
+			f.clients.lost(now, c, reason)
 		}
 	})
 }
--- a/internal/frontend/platform/nodeconns.go
+++ b/internal/frontend/platform/nodeconns.go
@@ -133,6 +133,9 @@
 	wasOpen := c.state != connDialing
 	nc.log.Debug("node disconnected", "node", n.name, "opened", wasOpen, "offers", len(c.offers),
 		"workloads", len(n.workloads), "reason", reason)
+	if errors.Is(reason, transport.ErrSlowPeer) {
+		nc.counters.SlowNodes++
+	}
 	delete(nc.conns, c.id)
 	c.state = connClosed
 	if n.conn == c {
--- a/internal/transport/connection.go
+++ b/internal/transport/connection.go
@@ -42,13 +42,13 @@
 
 	shared     sharedState
 	incomplete incompleteMessage
+	outbound   outbound // used by the event loop only
 }
 
 // sharedState is the state of a connection that its worker and its event loop both access.
 type sharedState struct {
 	ended       atomic.Bool           // socket closed by the event loop; the worker may not have handled eventClosed yet
 	closeReason atomic.Pointer[error] // reason recorded by setCloseReason; nil if none
-	unwritten   atomic.Int64          // bytes flushed by the worker and not yet accepted by the event loop
 }
 
 // open changes the state to stateOpen. It returns false if the handler has already closed the connection.
--- a/internal/transport/connectionwrite.go
+++ b/internal/transport/connectionwrite.go
@@ -14,18 +14,11 @@
 	}
 	out := c.writeBuffer
 	c.writeBuffer = nil
-	maxBuffer := c.worker.limits.MaxWriteBuffer
-	if c.shared.unwritten.Add(int64(len(out))) > int64(maxBuffer) {
-		c.failSlowPeer()
-		return
-	}
 	c.worker.loop.Stats.Writes.Add(1)
-	err := c.socket.AsyncWrite(out, func(socket gnet.Conn, err error) error {
-		c.shared.unwritten.Add(-int64(len(out)))
-		// The event loop buffers what the socket does not accept. Above the limit the connection is closed, so that its
-		// buffer does not delay other connections.
-		if err == nil && socket != nil && socket.OutboundBuffered() > maxBuffer {
-			c.failSlowPeer()
+	backlog := c.worker.loops.backlog(c.class)
+	err := c.socket.AsyncWrite(out, func(_ gnet.Conn, err error) error {
+		if err == nil {
+			backlog.written(c.worker.loop.Now(), c, len(out))
 		}
 		return nil
 	})
@@ -63,3 +56,10 @@
 	c.worker.loop.Stats.SlowPeers.Add(1)
 	c.fail(fmt.Errorf("%w: write buffer exceeds %d bytes", ErrSlowPeer, c.worker.limits.MaxWriteBuffer))
 }
+
+// failTotalBacklog closes the connection because more than MaxTotalWriteBuffer bytes wait for all peers, and those for
+// this peer wait longest.
+func (c *connection) failTotalBacklog() {
+	c.worker.loop.Stats.SlowPeers.Add(1)
+	c.fail(fmt.Errorf("%w: write buffers of all peers exceed %d bytes", ErrSlowPeer, c.worker.limits.MaxTotalWriteBuffer))
+}
--- a/internal/transport/eventloops.go
+++ b/internal/transport/eventloops.go
@@ -22,20 +22,28 @@
 	log               *slog.Logger
 	closed            <-chan struct{} // signal after which no event loop is started
 	registrationSlots chan struct{}   // semaphore with a value per registration in progress
+	backlogs          [numClasses]*writeBacklog
 
 	mu    sync.Mutex
 	loops [numClasses]*gnet.Client // index: priorityClass; nil until started
 }
 
 func newEventLoops(events *socketEvents, log *slog.Logger, closed <-chan struct{}) *eventLoops {
-	return &eventLoops{
+	loops := &eventLoops{
 		events:            events,
 		log:               log,
 		closed:            closed,
 		registrationSlots: make(chan struct{}, maxConcurrentRegistrations),
 	}
+	for class := range loops.backlogs {
+		loops.backlogs[class] = newWriteBacklog(events.worker)
+	}
+	return loops
 }
 
+// backlog returns the write backlog of the event loop of a class.
+func (l *eventLoops) backlog(class priorityClass) *writeBacklog { return l.backlogs[class] }
+
 // register adds an established connection to the event loop of its class. On success the event loop owns the socket.
 func (l *eventLoops) register(socket net.Conn, c *connection) error {
 	// Urgent connections skip the semaphore, since hundreds of connections may be waiting for it at start-up.
--- a/internal/transport/socketevents.go
+++ b/internal/transport/socketevents.go
@@ -15,6 +15,7 @@
 		return nil, gnet.Close
 	}
 	c.socket = socket
+	e.worker.loops.backlog(c.class).opened(c)
 	e.worker.queue.push(event{kind: eventOpened, conn: c})
 	return nil, gnet.None
 }
@@ -26,6 +27,7 @@
 		return gnet.None
 	}
 	c.shared.ended.Store(true)
+	e.worker.loops.backlog(c.class).closed(c)
 	if c.class == classIncoming {
 		e.worker.listener.connectionEnded()
 	}
--- a/internal/transport/worker.go
+++ b/internal/transport/worker.go
@@ -1,8 +1,11 @@
 package transport
 
 import (
+	"context"
 	"time"
 
+	"github.com/panjf2000/gnet/v2"
+
 	"grebeglade/placement"
 )
 
@@ -169,6 +172,18 @@
 	w.handler.Closed(w.now, c.id, e.reason)
 }
 
+// runOnEventLoop has an event loop run a task after its next pass over its sockets. The task does not run if the event
+// loop stops before.
+func (w *worker) runOnEventLoop(eventLoop gnet.EventLoop, task func()) {
+	run := gnet.RunnableFunc(func(context.Context) error {
+		task()
+		return nil
+	})
+	if err := eventLoop.Execute(context.Background(), run); err != nil {
+		w.loop.log.Debug("task not run", "error", err)
+	}
+}
+
 // duration converts milliseconds to a time.Duration.
 func duration(t placement.Millis) time.Duration {
 	return time.Duration(float64(t) * float64(time.Millisecond))
