Judge an incomplete message only after the event loop has read its socket

The time limit of a message was judged by the worker, also while the event loop was blocked by a full queue or the process was stopped; a peer whose message had long arrived was disconnected. Now the event loop judges, after a second pass over its sockets: one pass may run the task before the read.

--- a/internal/transport/messagetimeout.go
+++ b/internal/transport/messagetimeout.go
@@ -32,9 +32,21 @@
 	})
 }
 
-// failIfIncomplete closes the connection if the message with that number is still incomplete. The worker calls it.
+// failIfIncomplete closes the connection if the message with that number is still incomplete once the event loop has
+// read what the peer has sent until now. The worker calls it. An event loop that was blocked may not have read the end
+// of the message, and a task that it runs after one pass over its sockets may still precede the read; therefore the
+// decision is made after a second pass.
 func (c *connection) failIfIncomplete(number uint64) {
-	if c.incomplete.number.Load() == number && c.state != stateClosed {
-		c.fail(fmt.Errorf("%w: incomplete %v ms after its first bytes", ErrMessageTimeout, c.worker.limits.MessageTimeout))
+	if c.incomplete.number.Load() != number || c.state == stateClosed {
+		return
 	}
+	eventLoop := c.socket.EventLoop()
+	c.worker.runOnEventLoop(eventLoop, func() {
+		c.worker.runOnEventLoop(eventLoop, func() {
+			if c.incomplete.number.Load() == number && !c.shared.ended.Load() {
+				c.fail(fmt.Errorf("%w: incomplete %v ms after its first bytes",
+					ErrMessageTimeout, c.worker.limits.MessageTimeout))
+			}
+		})
+	})
 }
