Count adopted workloads against capacity only as far as requests are listed

What callers saw: a client hands over running workloads that do not exist; each takes the cores that it names from the node that it names, so 26 handovers of one core close a node of 26 to all requests, for as long as the node's process runs.

Cause: capacityEstimator.available subtracts all own binds from the node's size, adopted ones included, although the node list and the reports already include those that exist.

Change: an adopted workload that the node has not reported on counts only up to the requests that the list (or the report) shows beside our known ones. Where neither shows requests it still counts in full.

--- a/placement/capacity.go
+++ b/placement/capacity.go
@@ -44,25 +44,17 @@
 // by this allocator's later changes, and at most the size of n less this allocator's own requests. If the free capacity
 // is neither listed nor reported, every allocator is assumed to have requested as much as this one.
 func (c *capacityEstimator) available(now Millis, n *node) resources {
-	requested := n.ownRequests()
-	upperBound := resources{
-		Cores:  n.size.Cores - requested.Cores,
-		Memory: n.size.Memory - requested.Memory,
-	}
+	own := n.ownRequests()
 	if c.settings.EntriesCarryCapacity {
+		free := resources{Cores: n.FreeCores, Memory: n.FreeMemory}
 		changed := n.changes.sumSince(max(n.listedAt-discoveryLag, now-discoverySettleTime))
-		return resources{
-			Cores:  min(upperBound.Cores, n.FreeCores-changed.Cores),
-			Memory: min(upperBound.Memory, n.FreeMemory-changed.Memory),
-		}
+		return own.leave(n.size, free, changed)
 	}
 	if latest := n.reports.latest(now); latest != nil && !c.settings.ReportsUsage {
 		changed := n.changes.sumSince(latest.at - reportLag)
-		return resources{
-			Cores:  min(upperBound.Cores, latest.spare.Cores-changed.Cores),
-			Memory: min(upperBound.Memory, latest.spare.Memory-changed.Memory),
-		}
+		return own.leave(n.size, latest.spare, changed)
 	}
+	requested := own.known.plus(own.unverified)
 	allocators := float64(c.settings.Allocators)
 	return resources{
 		Cores:  n.size.Cores - requested.Cores*allocators,
@@ -70,11 +62,37 @@
 	}
 }
 
+// ownRequests are the resources that this allocator's workloads on a node request.
+type ownRequests struct {
+	known      resources // workloads that were bound by this allocator, or that the node has reported on
+	unverified resources // adopted workloads that the node has not reported on
+}
+
 // ownRequests returns the resources that this allocator's binds to n request.
-func (n *node) ownRequests() (sum resources) {
+func (n *node) ownRequests() (sum ownRequests) {
 	for _, b := range n.binds {
-		sum.Cores += b.workload.Cores
-		sum.Memory += b.workload.Memory
+		if b.unverified {
+			sum.unverified = sum.unverified.plus(b.workload.request())
+		} else {
+			sum.known = sum.known.plus(b.workload.request())
+		}
 	}
 	return sum
 }
+
+// leave returns the resources available on a node of the given size: its free resources, adjusted by the changes since,
+// and at most its size less the own requests. Unverified requests count only as far as the free resources show that
+// they, or others, are there.
+func (own ownRequests) leave(size, free, changed resources) resources {
+	return resources{
+		Cores:  available(size.Cores, free.Cores, changed.Cores, own.known.Cores, own.unverified.Cores),
+		Memory: available(size.Memory, free.Memory, changed.Memory, own.known.Memory, own.unverified.Memory),
+	}
+}
+
+// available is ownRequests.leave for one resource.
+func available(size, free, changed, known, unverified float64) float64 {
+	requestedByAll := size - free
+	own := known + min(unverified, max(0, requestedByAll-known))
+	return min(size-own, free-changed)
+}
--- a/placement/resources.go
+++ b/placement/resources.go
@@ -6,6 +6,11 @@
 	Memory float64
 }
 
+// plus returns the sum of r and other.
+func (r resources) plus(other resources) resources {
+	return resources{Cores: r.Cores + other.Cores, Memory: r.Memory + other.Memory}
+}
+
 // elementwiseMax returns the greater number of cores and the greater amount of memory of r and other.
 func (r resources) elementwiseMax(other resources) resources {
 	return resources{Cores: max(r.Cores, other.Cores), Memory: max(r.Memory, other.Memory)}
--- a/placement/schedule.go
+++ b/placement/schedule.go
@@ -42,6 +42,7 @@
 	}
 	adopted := s.nodes.getOrAdd(id).addBind(now, &workload{Workload: running, group: g})
 	adopted.advance(bindRunning)
+	adopted.unverified = true
 	s.placed[running.ID] = adopted
 	return s.awaitEnd(adopted)
 }
--- a/placement/scheduler.go
+++ b/placement/scheduler.go
@@ -115,6 +115,7 @@
 	if observed == nil || math.IsNaN(value) {
 		return
 	}
+	observed.unverified = false
 	switch kind {
 	case Running:
 		observed.advance(bindRunning)
