Keep handed-over workloads without their texts, and in compact form beyond a limit

Cause: requestHandler.adopt passed each handover to the engine beside the limit for requests, and the workload kept the texts of the request, which only an offer needs, until its node's process ended.

Fix: texts are dropped with the final answer, adopted workloads have none, and those of pending requests are bounded together. Beyond 64 a MB handovers are kept in compact form (handoverTable): ends, releases and restarts are passed on, and a report of the node passes the workload to the engine, so that one that exists is kept behind any flood. At 1,024 a MB the connections that have handed over the most lose theirs. Siblings mended with it: adopted workloads counted for the limit of requests; ends of others' workloads were sent to the connection with the most handovers; unlisted nodes were kept for good; releases and notifications filled their queues.

Regression tests, failing before: TestAdoptions_ManyWorkloadsThatDoNotExist_MemoryStaysBounded (' is not less than 6000000'), TestAdoptions_Flood_RequestsAreServed, TestAdoptions_Flood_NotificationsGoToAClientWithConfirmedWorkloads and TestAdoptions_NodeStaysUnlisted_WorkloadsEnd. In clients_test.go notify takes the connection in place of a workload; the check is the same.

--- /dev/null
+++ b/internal/frontend/platform/adoptions_test.go
@@ -0,0 +1,271 @@
+package platform
+
+import (
+	"fmt"
+	"runtime"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"grebeglade/internal/frontend/platform/codec"
+	"grebeglade/internal/transport"
+	"grebeglade/placement"
+)
+
+// firstPhantom is the tag of the first workload that flood hands over.
+const firstPhantom = codec.Tag(1 << 32)
+
+// flood has a client hand over workloads that do not exist as running on the harness's node, and closes its connection.
+func (h *testHarness) flood(c transport.ConnID, workloads int) {
+	h.openConn(c)
+	for i := range workloads {
+		h.receive(c, adoptRequest(firstPhantom+codec.Tag(c)<<16+codec.Tag(i), nodeName))
+	}
+	h.closeConn(c, errClosed)
+}
+
+// newFloodedHarness returns a harness whose table of adopted workloads is full of workloads that do not exist.
+func newFloodedHarness(t *testing.T) *testHarness {
+	t.Helper()
+	harness := newHarness(t)
+	harness.workloads.limit = 20
+	harness.flood(otherConn, 100)
+	require.True(t, harness.workloads.adoptionsFull())
+	require.Len(t, harness.adoptions.handovers.byTag, 80)
+	return harness
+}
+
+// heapSize returns the size of the reachable objects in bytes.
+func heapSize() int {
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return int(stats.HeapAlloc)
+}
+
+// Guards against clients that hand over workloads that do not exist, with large descriptions: each was kept with its
+// description for as long as its node's process, until the allocator was over its memory limit.
+func TestAdoptions_ManyWorkloadsThatDoNotExist_MemoryStaysBounded(t *testing.T) {
+	harness := newHarness(t)
+	before := heapSize()
+	description := strings.Repeat("x", 15000)
+	for i := range 20 {
+		c := otherConn + transport.ConnID(i)
+		harness.openConn(c)
+		for j := range 300 {
+			harness.receiveLine(t, c, fmt.Sprintf(`{"verb":"START","tag":"%016x","opts":{"class":"tiles","left":"6000",`+
+				`"key":"aa","extras":"cores:1;memory:2;service:07;at:s-01"},"blob":%q}`, 1000*i+j, description))
+		}
+		harness.closeConn(c, errClosed)
+	}
+	grown := heapSize() - before
+	assert.Equal(t, uint64(6000), harness.Counters.Adopted)
+	assert.Less(t, grown, 6000*1000, "less than 1 KB each")
+	runtime.KeepAlive(harness)
+}
+
+// Guards against a flood that displaces running workloads which are handed over behind it.
+func TestAdoptions_HandedOverBehindAFlood_Kept(t *testing.T) {
+	t.Run("ended by its node, client notified", func(t *testing.T) {
+		harness := newFloodedHarness(t)
+		harness.receive(harness.clientConn, adoptRequest(7, nodeName))
+		harness.receive(harness.clientConn, adoptRequest(7, nodeName))
+		assert.Len(t, harness.adoptions.handovers.byTag, 81, "a repeated request has no effect")
+		harness.receive(harness.nodeConn, codec.NewTermination(7, codec.CauseNormal))
+		assert.Equal(t, []sentMessage{aTermination(codec.CauseNormal)}, harness.sentAbout(harness.clientConn, 7))
+		assert.False(t, harness.adoptions.handovers.contains(7))
+	})
+	t.Run("cancelled, client not notified", func(t *testing.T) {
+		harness := newFloodedHarness(t)
+		harness.receive(harness.clientConn, adoptRequest(7, nodeName))
+		harness.receive(harness.nodeConn, codec.NewTermination(7, codec.CauseCancelled))
+		assert.Empty(t, harness.sentAbout(harness.clientConn, 7))
+	})
+	t.Run("ended by its client, node notified", func(t *testing.T) {
+		harness := newFloodedHarness(t)
+		harness.receive(harness.clientConn, adoptRequest(7, nodeName))
+		harness.openConn(otherConn + 1)
+		harness.receive(otherConn+1, codec.NewTermination(7, codec.CauseNormal))
+		assert.Equal(t, []sentMessage{aTermination(codec.CauseNormal)}, harness.sentAbout(harness.nodeConn, 7))
+		assert.False(t, harness.adoptions.handovers.contains(7))
+	})
+	t.Run("its node restarts, client notified", func(t *testing.T) {
+		harness := newFloodedHarness(t)
+		harness.receive(harness.clientConn, adoptRequest(7, nodeName))
+		harness.publish(2, nodeEvent(2, "Ready", float64(harness.endpoints.unixTime()+1)))
+		assert.Equal(t, []sentMessage{aTermination(codec.CauseReset)}, harness.sentAbout(harness.clientConn, 7))
+		assert.Empty(t, harness.adoptions.handovers.byTag)
+	})
+	t.Run("another node cannot end it", func(t *testing.T) {
+		harness := newFloodedHarness(t)
+		harness.publishNodes(1)
+		harness.receive(harness.clientConn, adoptRequest(7, extraNodeName(0)))
+		harness.receive(harness.nodeConn, codec.NewTermination(7, codec.CauseNormal))
+		assert.Empty(t, harness.sentAbout(harness.clientConn, 7))
+	})
+	t.Run("its node reports on it, passed to the engine", func(t *testing.T) {
+		harness := newFloodedHarness(t)
+		harness.receive(harness.clientConn, adoptRequest(7, nodeName))
+		harness.receive(harness.nodeConn, &codec.UsageReport{
+			Header: codec.Header{Tag: 7},
+			Kind:   placement.CoresUsed,
+			Value:  0.5,
+		})
+		require.NotNil(t, harness.workloads.getByTag(7))
+		assert.True(t, harness.workloads.getByTag(7).verified)
+		assert.Equal(t, 1, harness.clients.get(harness.clientConn).confirmed)
+		harness.receive(harness.nodeConn, codec.NewTermination(7, codec.CauseNormal))
+		assert.Equal(t, []sentMessage{aTermination(codec.CauseNormal)}, harness.sentAbout(harness.clientConn, 7))
+	})
+}
+
+// Guards against workloads that do not exist and use up the limits and the capacity for those that are requested.
+func TestAdoptions_Flood_RequestsAreServed(t *testing.T) {
+	harness := newFloodedHarness(t) // each handover says that it uses a core of 20
+	harness.startWorkload(7)
+	assert.Equal(t, []sentMessage{aConfirmation}, harness.sentAbout(harness.clientConn, 7))
+	harness.receive(harness.clientConn, request(firstPhantom+codec.Tag(otherConn)<<16+90))
+	assert.Equal(t, []sentMessage{aTermination(codec.CauseInvalid)},
+		harness.sentAbout(harness.clientConn, firstPhantom+codec.Tag(otherConn)<<16+90), "its tag is in use")
+}
+
+// Guards against a client that hands over workloads that do not exist and thereby receives the notifications of others.
+func TestAdoptions_Flood_NotificationsGoToAClientWithConfirmedWorkloads(t *testing.T) {
+	harness := newHarness(t)
+	const closedConn = otherConn - 1
+	harness.openConn(closedConn)
+	harness.receive(closedConn, request(6))
+	harness.receive(harness.nodeConn, confirmation(6))
+	harness.closeConn(closedConn, errClosed)
+	harness.startWorkload(7)
+	harness.openConn(otherConn)
+	for i := range 100 {
+		harness.receive(otherConn, adoptRequest(firstPhantom+codec.Tag(i), nodeName))
+	}
+	harness.receive(harness.nodeConn, codec.NewTermination(6, codec.CauseNormal))
+	assert.Equal(t, []sentMessage{aTermination(codec.CauseNormal)}, harness.sentAbout(harness.clientConn, 6))
+	assert.Empty(t, harness.sentAbout(otherConn, 6))
+}
+
+// At the limit, the clients that have handed over the most lose their handovers first, open or closed.
+func TestAdoptions_HandoversFull_LargestSourcesEvicted(t *testing.T) {
+	harness := newFloodedHarness(t)
+	harness.adoptions.handovers.limit = 160
+	harness.receive(harness.clientConn, adoptRequest(7, nodeName))
+	for i := range transport.ConnID(10) {
+		harness.flood(otherConn+1+i, 50)
+	}
+	harness.receive(harness.clientConn, adoptRequest(8, nodeName))
+	assert.LessOrEqual(t, len(harness.adoptions.handovers.byTag), 160)
+	assert.True(t, harness.adoptions.handovers.contains(7))
+	assert.True(t, harness.adoptions.handovers.contains(8))
+	assert.NotZero(t, harness.Counters.EvictedHandovers)
+	assert.Empty(t, harness.sentAbout(harness.clientConn, 7))
+
+	harness.openConn(otherConn)
+	for i := range 200 {
+		harness.receive(otherConn, adoptRequest(codec.Tag(1000+i), nodeName))
+	}
+	assert.Contains(t, harness.network.sent[otherConn], any(codec.NewTermination(1001, codec.CauseReset)),
+		"a client is told that its workload was ended")
+	assert.True(t, harness.adoptions.handovers.contains(7))
+}
+
+// A workload on a node that is not in the endpoint list ends when the list had time to contain it.
+func TestAdoptions_NodeStaysUnlisted_WorkloadsEnd(t *testing.T) {
+	harness := newHarness(t)
+	harness.workloads.limit = 1
+	harness.receive(harness.clientConn, adoptRequest(7, extraNodeName(0))) // in the engine
+	harness.receive(harness.clientConn, adoptRequest(8, extraNodeName(0))) // in compact form
+	harness.keepDiscoveryAlive(unlistedTimeout - 1000)
+	assert.Empty(t, harness.sentAbout(harness.clientConn, 7))
+	harness.keepDiscoveryAlive(3000)
+	for tag := codec.Tag(7); tag <= 8; tag++ {
+		assert.Equal(t, []sentMessage{aTermination(codec.CauseReset)}, harness.sentAbout(harness.clientConn, tag))
+	}
+	assert.Nil(t, harness.nodes.byName[extraNodeName(0)])
+	assert.Empty(t, harness.nodes.added)
+}
+
+// While the discovery service is not connected, a node that is not listed may well exist.
+func TestAdoptions_DiscoveryDown_WorkloadsOnUnlistedNodesKept(t *testing.T) {
+	harness := newHarness(t)
+	harness.receive(harness.clientConn, adoptRequest(7, extraNodeName(0)))
+	harness.closeConn(harness.discoveryConn(), errReset)
+	harness.advance(10 * unlistedTimeout)
+	assert.Empty(t, harness.sentAbout(harness.clientConn, 7))
+	harness.openConn(harness.discoveryConn())
+	harness.keepDiscoveryAlive(unlistedTimeout / 2)
+	assert.Empty(t, harness.sentAbout(harness.clientConn, 7), "the list may still follow")
+	harness.publishNodes(1)
+	harness.keepDiscoveryAlive(2 * unlistedTimeout)
+	assert.Empty(t, harness.sentAbout(harness.clientConn, 7), "listed")
+}
+
+// Guards against clients that name nodes which do not exist, and against such a client that displaces the few that do.
+func TestAdoptions_ManyUnlistedNodes_Bounded(t *testing.T) {
+	harness := newHarness(t)
+	harness.receive(harness.clientConn, adoptRequest(7, extraNodeName(0)))
+	harness.openConn(otherConn)
+	for i := range 3 * maxUnlisted {
+		harness.receive(otherConn, adoptRequest(firstPhantom+codec.Tag(i), fmt.Sprintf("none-%d", i)))
+	}
+	assert.LessOrEqual(t, len(harness.nodes.added), maxUnlisted)
+	assert.LessOrEqual(t, len(harness.nodes.byID), maxUnlisted+1)
+	assert.Empty(t, harness.sentAbout(harness.clientConn, 7))
+	harness.publishNodes(1)
+	harness.openNodeConns()
+	harness.receive(harness.network.lastDialed(extraNodeAddr(0)), codec.NewTermination(7, codec.CauseNormal))
+	assert.Equal(t, []sentMessage{aTermination(codec.CauseNormal)}, harness.sentAbout(harness.clientConn, 7))
+	harness.receive(otherConn, adoptRequest(5, strings.Repeat("n", maxUnlistedName+1)))
+	assert.Equal(t, []sentMessage{aTermination(codec.CauseInvalid)}, harness.sentAbout(otherConn, 5))
+	harness.keepDiscoveryAlive(unlistedTimeout + 2000)
+	assert.Len(t, harness.nodes.byID, 2)
+}
+
+// The texts of a request are dropped with its final answer, and those of pending requests are bounded.
+func TestWorkloadTable_TextsOfPendingRequests_Bounded(t *testing.T) {
+	harness := newHarness(t)
+	harness.workloads.textLimit = 50000
+	large := func(place *codec.PlaceRequest) { place.Description = strings.Repeat("x", 15000) }
+	harness.receive(harness.clientConn, request(6, large))
+	assert.Greater(t, harness.workloads.textBytes, 15000)
+	harness.receive(harness.nodeConn, codec.NewConfirmation(6, strings.Repeat("y", 15000)))
+	assert.Zero(t, harness.workloads.textBytes, "a running workload has no texts")
+	for tag := codec.Tag(10); tag < 15; tag++ {
+		harness.receive(harness.clientConn, request(tag, large))
+	}
+	assert.Equal(t, []sentMessage{anOffer}, harness.sentAbout(harness.nodeConn, 13))
+	assert.Equal(t, []sentMessage{aTermination(codec.CauseNoCapacity)}, harness.sentAbout(harness.clientConn, 14))
+	harness.receive(harness.clientConn, codec.NewTermination(13, codec.CauseNormal))
+	harness.receive(harness.clientConn, request(15, large))
+	assert.Equal(t, []sentMessage{anOffer}, harness.sentAbout(harness.nodeConn, 15))
+	harness.closeConn(harness.clientConn, errClosed)
+	assert.Zero(t, harness.workloads.textBytes)
+}
+
+// Guards against a client that ends workloads which do not exist: their releases and notifications filled the queues,
+// and those of workloads that exist were dropped.
+func TestAdoptions_EndsOfWorkloadsThatDoNotExist_LeaveRoomInQueues(t *testing.T) {
+	harness := newHarness(t)
+	harness.startWorkload(7)
+	harness.openConn(otherConn)
+	for i := range codec.Tag(2 * maxPendingReleases) {
+		harness.receive(otherConn, adoptRequest(firstPhantom+i, nodeName))
+	}
+	harness.closeConn(harness.nodeConn, errReset)
+	for i := range codec.Tag(maxPendingReleases) {
+		harness.receive(otherConn, codec.NewTermination(firstPhantom+i, codec.CauseNormal))
+	}
+	harness.receive(harness.clientConn, codec.NewTermination(7, codec.CauseNormal))
+	n := harness.nodes.byName[nodeName]
+	assert.Len(t, n.pendingReleases, maxPendingUnverified+1)
+	assert.Contains(t, n.pendingReleases, codec.Tag(7))
+
+	harness.closeConn(otherConn, errClosed)
+	harness.closeConn(harness.clientConn, errClosed)
+	harness.publishNode(2, "Gone")
+	assert.LessOrEqual(t, len(harness.clients.undelivered), maxUndeliveredUnverified)
+}
--- a/internal/frontend/platform/answers.go
+++ b/internal/frontend/platform/answers.go
@@ -13,33 +13,32 @@
 	case allocator.Placed:
 		if client := h.clients.get(w.client); client != nil {
 			client.placed++
+			client.confirmed++
 		}
-		h.net.Send(w.client, codec.NewConfirmation(w.tag, w.replyDescription))
+		h.net.Send(w.client, codec.NewConfirmation(w.tag, w.texts.replyDescription))
 	case allocator.Rejected:
 		h.net.Send(w.client, codec.NewTermination(w.tag, codec.CauseNoCapacity))
 	case allocator.Unschedulable:
 		h.net.Send(w.client, codec.NewTermination(w.tag, codec.CauseReset))
 	}
+	h.workloads.dropTexts(w)
 }
 
 // notifyMigration notifies a client that its workload will be migrated. The platform itself ends the workload at its
 // node, which then reports the end.
 func (h *requestHandler) notifyMigration(w *workload) {
 	w.migrate()
-	h.clients.notify(w, codec.NewMigration(w.tag))
+	h.clients.notify(w.client, codec.NewMigration(w.tag))
 }
 
-// notifyEnd notifies a client that its workload has ended. It sends nothing if the client was notified of a migration
-// or ended the workload itself.
+// notifyEnd notifies a client that its workload has ended, unless it was notified of a migration.
 func (h *requestHandler) notifyEnd(w *workload) {
-	cause := w.bind.endCause
-	if cause == codec.CauseNone {
-		cause = codec.CauseReset
+	if w.bind.state != bindMigrating {
+		h.clients.notifyEnd(ended{
+			client:     w.client,
+			tag:        w.tag,
+			cause:      w.bind.endCause,
+			unverified: w.unverified(),
+		})
 	}
-	if w.bind.state == bindMigrating || cause == codec.CauseCancelled {
-		return
-	}
-	h.counters.Released++
-	h.log.Debug("workload ended", "workload", w.tag, "client", w.client, "cause", uint8(cause))
-	h.clients.notify(w, codec.NewTermination(w.tag, cause))
 }
--- a/internal/frontend/platform/binder.go
+++ b/internal/frontend/platform/binder.go
@@ -11,8 +11,8 @@
 type binder struct {
 	*environment
 	workloads *workloadTable
-	nodes     *nodeTable
 	conns     *nodeConns
+	adoptions *adoptions
 }
 
 // pendingOffer is an offer that waits for the connection to its node.
@@ -67,10 +67,10 @@
 	c.lastSent = now
 	b.net.Send(c.id, &codec.Offer{
 		Header:      codec.Header{Tag: w.tag},
-		Class:       w.class,
-		Key:         w.key,
+		Class:       w.texts.class,
+		Key:         w.texts.key,
 		Timeout:     o.deadline - now,
-		Description: w.description,
+		Description: w.texts.description,
 	})
 }
 
--- a/internal/frontend/platform/clients.go
+++ b/internal/frontend/platform/clients.go
@@ -21,6 +21,9 @@
 	firstMessageTimeout = placement.Millis(2000)
 	// maxUndelivered is the maximum number of notifications that wait for a client connection.
 	maxUndelivered = 4096
+	// maxUndeliveredUnverified is the number of waiting notifications beyond which none about workloads are queued that
+	// were handed over and may not exist.
+	maxUndeliveredUnverified = maxUndelivered / 2
 	// slowClientLogInterval, in ms, is the minimum time between two warnings about clients that do not read, since clients
 	// could fill the log.
 	slowClientLogInterval = placement.Millis(10e3)
@@ -36,6 +39,7 @@
 	id           transport.ConnID
 	active       bool                               // a message was received
 	placed       int                                // workloads placed or adopted for requests on this connection
+	confirmed    int                                // those of placed that a node has confirmed or reported on
 	lastReceived placement.Millis                   // time of the last message, or of opening if there is none
 	unanswered   map[placement.WorkloadID]*workload // requests on this connection without a final answer
 }
@@ -112,12 +116,15 @@
 	cs.disconnect(now, first)
 }
 
-// evictedBefore defines the eviction order: connections without any message come first, then those with fewer placed
-// workloads, then those with an older last message.
+// evictedBefore defines the eviction order: connections without any message come first, then those with fewer confirmed
+// workloads, then those with fewer placed ones, then those with an older last message. Confirmed workloads have
+// precedence because a client can hand over any number of workloads that do not exist.
 func (c *clientConn) evictedBefore(other *clientConn) bool {
 	switch {
 	case c.active != other.active:
 		return other.active
+	case c.confirmed != other.confirmed:
+		return c.confirmed < other.confirmed
 	case c.placed != other.placed:
 		return c.placed < other.placed
 	case c.lastReceived != other.lastReceived:
@@ -159,12 +166,37 @@
 	cs.requests.cancelAll(now, c.unanswered)
 }
 
-// notify sends a message about a workload on the connection of its request. If that is closed, it uses the connection
-// with the most placed workloads, which is likely to stay open. If no connection has placed workloads, the message is
-// queued; beyond maxUndelivered, the oldest queued message is dropped.
-func (cs *clientConns) notify(w *workload, m codec.Message) {
-	if cs.conns[w.client] != nil {
-		cs.net.Send(w.client, m)
+// ended is the end of a workload that a client is notified of.
+type ended struct {
+	client     transport.ConnID // connection of the request, which may be closed
+	tag        codec.Tag
+	cause      codec.Cause // CauseNone if there was none
+	unverified bool        // the workload was handed over, and its node has not reported on it
+}
+
+// notifyEnd notifies a client that its workload has ended. It sends nothing if the client ended the workload itself.
+func (cs *clientConns) notifyEnd(end ended) {
+	cause := end.cause
+	if cause == codec.CauseNone {
+		cause = codec.CauseReset
+	}
+	if cause == codec.CauseCancelled {
+		return
+	}
+	cs.counters.Released++
+	cs.log.Debug("workload ended", "workload", end.tag, "client", end.client, "cause", uint8(cause))
+	if end.unverified && len(cs.undelivered) >= maxUndeliveredUnverified {
+		return
+	}
+	cs.notify(end.client, codec.NewTermination(end.tag, cause))
+}
+
+// notify sends a message about a workload on the connection of its request. If that is closed, it uses the last one in
+// eviction order of those with placed workloads, which is likely to stay open. If there is none, the message is queued;
+// beyond maxUndelivered, the oldest queued message is dropped.
+func (cs *clientConns) notify(client transport.ConnID, m codec.Message) {
+	if cs.conns[client] != nil {
+		cs.net.Send(client, m)
 		return
 	}
 	if c := cs.mostPlaced(); c != nil {
--- a/internal/frontend/platform/clients_test.go
+++ b/internal/frontend/platform/clients_test.go
@@ -88,9 +88,8 @@
 func TestClientConns_UndeliveredNotificationsExpireAndAreBounded(t *testing.T) {
 	harness := newHarness(t)
 	harness.closeConn(harness.clientConn, errClosed)
-	requestedOnClosedConn := &workload{client: harness.clientConn}
 	for tag := range codec.Tag(maxUndelivered + 1) {
-		harness.clients.notify(requestedOnClosedConn, codec.NewMigration(tag))
+		harness.clients.notify(harness.clientConn, codec.NewMigration(tag))
 	}
 	assert.Len(t, harness.clients.undelivered, maxUndelivered)
 	assert.Equal(t, codec.Tag(1), harness.clients.undelivered[0].message.Envelope().Tag, "the oldest is dropped")
--- a/internal/frontend/platform/endpoints.go
+++ b/internal/frontend/platform/endpoints.go
@@ -104,7 +104,7 @@
 	moved := n.addr != "" && n.addr != endpoint.Address
 	restarted := n.listed && n.entry.StartedAt != entry.StartedAt
 	n.entry = entry
-	n.listed = true
+	l.nodes.markListed(n)
 	// The process of the node that had the address before has ended, even if the list still has the node. Its connection
 	// is closed, since an offer for it must not reach the node that has the address now.
 	if displaced := l.nodes.assignAddr(n, endpoint.Address); displaced != nil {
--- a/internal/frontend/platform/frontend.go
+++ b/internal/frontend/platform/frontend.go
@@ -6,11 +6,13 @@
 //   - clientConns: the client connections, and the notifications that wait for one;
 //   - nodeTable, nodeConns: the nodes, and the connections to them;
 //   - workloadTable: the workloads, each with its last bind;
+//   - handoverTable: running workloads that clients have handed over, in compact form;
 //   - subscription, endpointList: the connection to the discovery service, and the application of its events;
 //   - lifecycle: whether the frontend is starting, ready or draining,
 //
 // and of types that act on that state: requestHandler for messages from clients, replyHandler for messages from nodes,
-// binder for the engine's binds, healthChecker for the engine's health checks.
+// binder for the engine's binds, adoptions for running workloads that clients hand over, healthChecker for the engine's
+// health checks.
 //
 // Placement decisions are made only by the engine's placement module. All types of the package must be used from one
 // goroutine. Times are in milliseconds on a monotonic clock.
@@ -49,6 +51,8 @@
 	Lost     uint64 // running workloads that ended because their node's process ended
 	Released uint64 // notifications to clients that a workload ended
 
+	EvictedHandovers uint64 // handovers that were ended since there were too many
+
 	SlowClients uint64 // client connections closed because the client did not read
 	SlowNodes   uint64 // node connections closed because the node did not read
 }
@@ -77,6 +81,7 @@
 	nodeConns    *nodeConns
 	healthChecks *healthChecker
 	binder       *binder
+	adoptions    *adoptions
 	replies      *replyHandler
 	requests     *requestHandler
 	endpoints    *endpointList
--- a/internal/frontend/platform/harness_test.go
+++ b/internal/frontend/platform/harness_test.go
@@ -120,6 +120,14 @@
 	}
 }
 
+// keepDiscoveryAlive advances the clock while the discovery service sends its keep-alive comments.
+func (h *testHarness) keepDiscoveryAlive(duration placement.Millis) {
+	for end := h.now + duration; h.now < end; {
+		h.advance(min(1000, end-h.now))
+		h.Received(h.now, h.discoveryConn(), &codec.EventBatch{})
+	}
+}
+
 // Reasons for which the transport reports connections as closed.
 var (
 	errReset   = fmt.Errorf("%w: reset", transport.ErrConnectionLost)
--- a/internal/frontend/platform/nodeconnuse.go
+++ b/internal/frontend/platform/nodeconnuse.go
@@ -12,25 +12,47 @@
 	idleShare = 0.9
 	// maxPendingReleases is the maximum number of releases per node that wait for a connection.
 	maxPendingReleases = 4096
+	// maxPendingUnverified is the number of waiting releases per node beyond which none of workloads are queued that were
+	// handed over and may not exist.
+	maxPendingUnverified = maxPendingReleases / 2
 )
 
-// release sends a node the request to end a workload. It uses the connection of the offer if that is usable, otherwise
-// the node's current connection. If neither is usable, the release waits for the next connection; beyond
-// maxPendingReleases it is dropped.
+// release is a request to a node to end a workload.
+type release struct {
+	node       *node
+	preferred  *nodeConn // connection to use if it is usable; may be nil
+	tag        codec.Tag
+	unverified bool // the workload was handed over, and its node has not reported on it
+}
+
+// release sends a node the request to end a workload, on the connection of the offer if that is usable.
 func (nc *nodeConns) release(w *workload) {
-	now := nc.host.Now()
-	n := w.bind.node
-	for _, c := range []*nodeConn{w.bind.conn, n.openConn()} {
+	nc.releaseTag(nc.host.Now(), release{
+		node:       w.bind.node,
+		preferred:  w.bind.conn,
+		tag:        w.tag,
+		unverified: w.unverified(),
+	})
+}
+
+// releaseTag sends a release on the preferred connection or, if that is not usable, on the node's current connection.
+// If neither is usable, the release waits for the next connection; beyond maxPendingReleases it is dropped.
+func (nc *nodeConns) releaseTag(now placement.Millis, r release) {
+	for _, c := range []*nodeConn{r.preferred, r.node.openConn()} {
 		if nc.usable(now, c) {
 			c.lastSent = now
-			nc.net.Send(c.id, codec.NewTermination(w.tag, codec.CauseNormal))
+			nc.net.Send(c.id, codec.NewTermination(r.tag, codec.CauseNormal))
 			return
 		}
 	}
-	if len(n.pendingReleases) < maxPendingReleases {
-		n.pendingReleases = append(n.pendingReleases, w.tag)
+	limit := maxPendingReleases
+	if r.unverified {
+		limit = maxPendingUnverified
+	}
+	if len(r.node.pendingReleases) < limit {
+		r.node.pendingReleases = append(r.node.pendingReleases, r.tag)
 	}
-	nc.connect(now, n)
+	nc.connect(now, r.node)
 }
 
 // sendPendingReleases sends the releases that waited for a connection to the node.
--- a/internal/frontend/platform/nodes.go
+++ b/internal/frontend/platform/nodes.go
@@ -1,12 +1,23 @@
 package platform
 
 import (
+	"cmp"
 	"hash/fnv"
+	"slices"
+	"strings"
 
 	"grebeglade/internal/frontend/platform/codec"
+	"grebeglade/internal/transport"
 	"grebeglade/placement"
 )
 
+const (
+	// maxUnlisted is the maximum number of unlisted nodes that handovers have named.
+	maxUnlisted = 1024
+	// evictedUnlisted is the number of unlisted nodes that are removed at the limit.
+	evictedUnlisted = maxUnlisted / 16
+)
+
 // node is a node from the endpoint list, or from a client's request to adopt a workload.
 type node struct {
 	id        placement.NodeID
@@ -15,6 +26,9 @@
 	entry     placement.Node                     // last entry of the endpoint list; in state Removed if there is none
 	listed    bool                               // an endpoint list has contained the node
 	workloads map[placement.WorkloadID]*workload // workloads being bound to the node or running on it
+	handovers int                                // compact handovers of workloads on the node
+	addedBy   transport.ConnID                   // client connection of the handover that has named the unlisted node
+	addedAt   placement.Millis                   // time of that handover
 
 	conn            *nodeConn    // connection for new offers, open or being dialed; nil if there is none
 	waiters         []connWaiter // waiters for conn to open
@@ -33,9 +47,12 @@
 
 // needsConn reports whether a connection is needed, to send messages to the node or to receive ends of its workloads.
 func (n *node) needsConn() bool {
-	return len(n.workloads) > 0 || len(n.pendingReleases) > 0 || len(n.waiters) > 0
+	return !n.unused() || len(n.pendingReleases) > 0 || len(n.waiters) > 0
 }
 
+// unused reports whether no workload is being bound to the node or runs on it.
+func (n *node) unused() bool { return len(n.workloads) == 0 && n.handovers == 0 }
+
 // openConn returns the connection for new offers if it is open, or nil.
 func (n *node) openConn() *nodeConn {
 	if n.conn != nil && n.conn.state == connOpen {
@@ -67,6 +84,7 @@
 	byID   map[placement.NodeID]*node
 	byName map[string]*node
 	byAddr map[string]*node
+	added  map[*node]struct{} // unlisted nodes: those named in a handover that are not in the endpoint list
 }
 
 func newNodeTable() *nodeTable {
@@ -74,6 +92,7 @@
 		byID:   map[placement.NodeID]*node{},
 		byName: map[string]*node{},
 		byAddr: map[string]*node{},
+		added:  map[*node]struct{}{},
 	}
 }
 
@@ -110,6 +129,57 @@
 	return n
 }
 
+// addUnlisted returns the node that a client has named in a handover, and records that it is unlisted. It adds the node
+// if it is new.
+func (t *nodeTable) addUnlisted(now placement.Millis, name string, client transport.ConnID) *node {
+	n := t.intern(strings.Clone(name)) // a part of the client's message, which would be kept with it
+	n.addedBy = client
+	n.addedAt = now
+	t.added[n] = struct{}{}
+	return n
+}
+
+// isUnlisted reports whether the node was named in a handover and is not in the endpoint list.
+func (t *nodeTable) isUnlisted(n *node) bool {
+	_, unlisted := t.added[n]
+	return unlisted
+}
+
+// markListed records that an endpoint list contains the node.
+func (t *nodeTable) markListed(n *node) {
+	n.listed = true
+	if n.entry.State != placement.Removed {
+		delete(t.added, n)
+	}
+}
+
+// unlisted returns the unlisted nodes in the order of their ids.
+func (t *nodeTable) unlisted() []*node {
+	nodes := make([]*node, 0, len(t.added))
+	for n := range t.added {
+		nodes = append(nodes, n)
+	}
+	slices.SortFunc(nodes, func(x, y *node) int { return cmp.Compare(x.id, y.id) })
+	return nodes
+}
+
+// unlistedFull reports whether the limit of unlisted nodes is reached.
+func (t *nodeTable) unlistedFull() bool { return len(t.added) >= maxUnlisted }
+
+// unlistedEvictionOrder returns the evictedUnlisted nodes to remove at the limit: those of the connections that have
+// named the most unlisted nodes.
+func (t *nodeTable) unlistedEvictionOrder() []*node {
+	bySource := map[transport.ConnID][]*node{}
+	for _, n := range t.unlisted() {
+		bySource[n.addedBy] = append(bySource[n.addedBy], n)
+	}
+	var order []*node
+	for _, source := range largestFirst(bySource) {
+		order = append(order, bySource[source]...)
+	}
+	return order[:min(len(order), evictedUnlisted)]
+}
+
 // assignAddr sets the address of a node. If another node had the address, that node loses it and is returned. For a
 // removed node, assignAddr does nothing.
 func (t *nodeTable) assignAddr(n *node, addr string) (displaced *node) {
@@ -132,13 +202,14 @@
 // removable reports whether a node can be removed from the table: its state is Removed, it has no workloads, and it is
 // in the table.
 func (t *nodeTable) removable(n *node) bool {
-	return n.entry.State == placement.Removed && len(n.workloads) == 0 && t.contains(n)
+	return n.entry.State == placement.Removed && n.unused() && t.contains(n)
 }
 
 // remove removes a node from the table, and its address unless another node has taken it over.
 func (t *nodeTable) remove(n *node) {
 	delete(t.byID, n.id)
 	delete(t.byName, n.name)
+	delete(t.added, n)
 	if t.byAddr[n.addr] == n {
 		delete(t.byAddr, n.addr)
 	}
--- a/internal/frontend/platform/replies.go
+++ b/internal/frontend/platform/replies.go
@@ -12,6 +12,7 @@
 	workloads *workloadTable
 	conns     *nodeConns
 	binder    *binder
+	adoptions *adoptions
 	checks    *healthChecker
 }
 
@@ -44,6 +45,9 @@
 		return h.healthReplied(now, c, reply)
 	}
 	w := h.workloads.getByTag(message.Envelope().Tag)
+	if w == nil {
+		w = h.handedOver(now, c, message)
+	}
 	if w == nil || !w.acceptsMessagesOn(c) {
 		return loadPending // unknown or ended workload, or abandoned bind
 	}
@@ -54,12 +58,25 @@
 		return h.terminated(now, w, message)
 	case *codec.UsageReport:
 		if w.running() {
+			h.adoptions.verify(w)
 			h.host.Engine().ReportUsage(now, w.id, w.bind.number, message.Kind, message.Value)
 		}
 	}
 	return loadPending
 }
 
+// handedOver handles a message about the workload of a compact handover. It returns the workload if it was passed to
+// the engine, or nil.
+func (h *replyHandler) handedOver(now placement.Millis, c *nodeConn, message codec.Message) *workload {
+	switch message := message.(type) {
+	case *codec.Termination:
+		h.adoptions.terminated(c.node, message)
+	case *codec.UsageReport:
+		return h.adoptions.reportedOn(now, c.node, message.Tag)
+	}
+	return nil
+}
+
 // healthReplied handles the reply to a health check.
 func (h *replyHandler) healthReplied(now placement.Millis, c *nodeConn, reply *codec.HealthReply) loadDisposition {
 	if h.checks.completed(now, c.node, reply) {
@@ -81,7 +98,7 @@
 		h.conns.disconnect(now, c, errNoDescription)
 		return loadDiscarded
 	}
-	w.replyDescription = description
+	h.workloads.setReplyDescription(w, description)
 	w.confirm(now)
 	h.host.Engine().BindConfirmed(now, w.id, w.bind.number, confirmation.Load)
 	return loadReported
--- a/internal/frontend/platform/requests.go
+++ b/internal/frontend/platform/requests.go
@@ -22,20 +22,20 @@
 	clients   *clientConns
 	workloads *workloadTable
 	lifecycle *lifecycle
-	binder    *binder
+	adoptions *adoptions
 	classes   frontend.GroupIDs
 }
 
 // newRequestHandler returns a handler that accepts requests for the classes of the settings.
 func newRequestHandler(
-	env *environment, clients *clientConns, workloads *workloadTable, lifecycle *lifecycle, binder *binder,
+	env *environment, clients *clientConns, workloads *workloadTable, lifecycle *lifecycle, adoptions *adoptions,
 ) *requestHandler {
 	return &requestHandler{
 		environment: env,
 		clients:     clients,
 		workloads:   workloads,
 		lifecycle:   lifecycle,
-		binder:      binder,
+		adoptions:   adoptions,
 		classes:     frontend.NewGroupIDs(env.config.Settings.GroupNames),
 	}
 }
@@ -68,7 +68,10 @@
 // unanswered request only on the connection that it was received on. It returns false if there is no such workload.
 func (h *requestHandler) terminate(now placement.Millis, client *clientConn, tag codec.Tag) bool {
 	w := h.workloads.getByTag(tag)
-	if w == nil || !w.running() && w.client != client.id {
+	if w == nil {
+		return h.adoptions.withdraw(now, tag)
+	}
+	if !w.running() && w.client != client.id {
 		return false
 	}
 	h.withdraw(now, w)
@@ -96,6 +99,8 @@
 		h.counters.Withdrawn++
 	case earlier != nil:
 		h.rejectTagInUse(now, client, earlier)
+	case h.adoptions.handovers.contains(request.Tag):
+		h.net.Send(client.id, codec.NewTermination(request.Tag, codec.CauseInvalid))
 	case h.lifecycle.rejecting(now) || h.workloads.full() || h.workloads.idsExhausted():
 		h.net.Send(client.id, codec.NewTermination(request.Tag, codec.CauseNoCapacity))
 	default:
@@ -119,20 +124,14 @@
 // adopt handles a request to adopt a workload that already runs on a node.
 func (h *requestHandler) adopt(now placement.Millis, client *clientConn, request *codec.AdoptRequest) {
 	running, err := h.engineWorkload(&request.Task)
-	switch {
-	case err != nil:
+	if err == nil {
+		err = h.adoptions.checkNode(request.Node)
+	}
+	if err != nil {
 		h.rejectInvalid(now, client, request.Tag, err)
-	case h.workloads.getByTag(request.Tag) != nil:
-		// The workload is already in the table; a repeated request has no effect.
-	case h.workloads.idsExhausted():
-		h.net.Send(client.id, codec.NewTermination(request.Tag, codec.CauseNoCapacity))
-	default:
-		added := h.workloads.addRunning(request.Tag, &request.Task, client.id)
-		client.placed++
-		h.counters.Adopted++
-		running.ID = added.id
-		h.binder.adopt(now, added, running, request.Node)
+		return
 	}
+	h.adoptions.adopt(now, client, request, running)
 }
 
 // rejectTagInUse rejects a request with the tag of an earlier workload. If the earlier request is unanswered on the
--- a/internal/frontend/platform/running.go
+++ b/internal/frontend/platform/running.go
@@ -17,12 +17,11 @@
 	})
 }
 
-// adopt passes a workload that already runs on a node to the engine, and dials the node so that it can report the end.
-func (b *binder) adopt(now placement.Millis, w *workload, task placement.Workload, name string) {
-	n := b.nodes.intern(name)
-	w.adopt(now, n)
-	b.host.Engine().Adopt(now, task, n.id)
-	b.conns.connect(now, n)
+// adopt passes a workload that was handed over to the engine, and dials the node so that it can report the end.
+func (b *binder) adopt(now placement.Millis, w *workload, running placement.Workload, h handover) {
+	w.adopt(h.at, h.node)
+	b.host.Engine().Adopt(now, running, h.node.id)
+	b.conns.connect(now, h.node)
 }
 
 // processEnded implements nodeEvents: it ends all workloads that ran on the node.
@@ -41,5 +40,6 @@
 			b.reportEnd(now, w, placement.Result{Kind: placement.Ended, Final: true})
 		}
 	}
+	b.adoptions.processRestarted(n, startedAt)
 	b.conns.removeNode(now, n)
 }
--- a/internal/frontend/platform/subscription.go
+++ b/internal/frontend/platform/subscription.go
@@ -57,6 +57,7 @@
 	state        subscriptionState
 	conn         transport.ConnID // invalid in subscriptionDown
 	revision     uint64           // revision of the last event that was applied or skipped
+	openedAt     placement.Millis // time when conn was opened; valid in subscriptionOpen
 	lastReceived placement.Millis // time of the last message, or of dialing or opening
 	failures     int              // lost connections and failed dials since the last new event or change of address
 	malformed    int              // failed attempts to decode the next event
@@ -90,11 +91,17 @@
 // opened handles a successful dial: it sends the subscription request and starts the silence timeout.
 func (s *subscription) opened(now placement.Millis) {
 	s.state = subscriptionOpen
+	s.openedAt = now
 	s.lastReceived = now
 	s.net.Send(s.conn, codec.Subscribe{Host: s.addr, After: s.revision})
 	s.watchSilence(s.conn)
 }
 
+// connectedSince returns the time since which the discovery service is connected, and false if it is not.
+func (s *subscription) connectedSince() (since placement.Millis, connected bool) {
+	return s.openedAt, s.state == subscriptionOpen
+}
+
 // watchSilence reconnects when nothing was received on the connection for silenceTimeout.
 func (s *subscription) watchSilence(conn transport.ConnID) {
 	s.host.Schedule(s.lastReceived+silenceTimeout, func(now placement.Millis) {
--- a/internal/frontend/platform/wiring.go
+++ b/internal/frontend/platform/wiring.go
@@ -5,6 +5,7 @@
 
 	"grebeglade/internal/allocator"
 	"grebeglade/internal/frontend"
+	"grebeglade/placement"
 )
 
 // New returns a frontend. The transport must serve it with its Limits. If log is nil, log messages are discarded.
@@ -33,11 +34,17 @@
 		Engine:          allocator.Options{EnforceTimeouts: true},
 		Actions:         engineActions{f},
 		MaxWakeInterval: maxWakeInterval,
-		Periodic:        f.nodeConns.closeIdle,
+		Periodic:        f.runPeriodic,
 		Counters:        &f.Counters.Counters,
 	})
 }
 
+// runPeriodic performs the work that no event starts.
+func (f *Frontend) runPeriodic(now placement.Millis) {
+	f.nodeConns.closeIdle(now)
+	f.adoptions.endUnlisted(now)
+}
+
 // connectParts creates the parts that use the tables and the host, and sets the tables' references to those parts.
 func (f *Frontend) connectParts(env *environment) {
 	f.healthChecks = &healthChecker{
@@ -49,17 +56,27 @@
 	f.binder = &binder{
 		environment: env,
 		workloads:   f.workloads,
+		conns:       f.nodeConns,
+	}
+	f.adoptions = &adoptions{
+		environment: env,
+		clients:     f.clients,
+		workloads:   f.workloads,
+		handovers:   newHandoverTable(env.config.Limits.MemoryMB),
 		nodes:       f.nodes,
 		conns:       f.nodeConns,
+		binder:      f.binder,
 	}
+	f.binder.adoptions = f.adoptions
 	f.replies = &replyHandler{
 		environment: env,
 		workloads:   f.workloads,
 		conns:       f.nodeConns,
 		binder:      f.binder,
+		adoptions:   f.adoptions,
 		checks:      f.healthChecks,
 	}
-	f.requests = newRequestHandler(env, f.clients, f.workloads, f.lifecycle, f.binder)
+	f.requests = newRequestHandler(env, f.clients, f.workloads, f.lifecycle, f.adoptions)
 	f.endpoints = &endpointList{
 		environment: env,
 		nodes:       f.nodes,
@@ -68,6 +85,7 @@
 		unixTime:    unixTime,
 	}
 	f.subscription = newSubscription(env, f.endpoints, f.lifecycle)
+	f.adoptions.subscription = f.subscription
 	f.clients.requests = f.requests
 	f.nodeConns.events = f.binder
 }
