At the limit end the handovers first that the node list does not confirm

An owner of many workloads that hands them over after a restart may be the largest source, and would have lost them before the many small sources of a flood. Cause: the order of eviction knew only the number for each connection. Now the handovers on nodes where they request more than the node list shows come first, since not all of those can exist, then those of closed connections, then the largest sources.

Measured: TestAdoptions_HandoversFull_WorkloadsThatTheListConfirmsKept passes and tests of the platform's frontend do.

--- a/internal/frontend/platform/adoptions.go
+++ b/internal/frontend/platform/adoptions.go
@@ -5,6 +5,7 @@
 	"fmt"
 
 	"grebeglade/internal/frontend/platform/codec"
+	"grebeglade/internal/transport"
 	"grebeglade/placement"
 )
 
@@ -167,7 +168,8 @@
 // evict ends workloads of compact handovers to make room. Client and node are told, so that none of them goes on
 // unnoticed if it exists.
 func (a *adoptions) evict(now placement.Millis) {
-	evicted := a.handovers.evictionOrder()
+	isOpen := func(client transport.ConnID) bool { return a.clients.get(client) != nil }
+	evicted := a.handovers.evicted(isOpen, a.listedRequests)
 	for _, tag := range evicted {
 		h, _ := a.handovers.take(tag)
 		a.counters.EvictedHandovers++
@@ -177,6 +179,20 @@
 	a.log.Warn("too many workloads handed over, some ended", "workloads", len(evicted), "held", len(a.handovers.byTag))
 }
 
+// listedRequests returns the resources that the endpoint list shows as requested on a node. Without that in the list,
+// all resources of the node count as requested.
+func (a *adoptions) listedRequests(n *node) (cores, memory float64) {
+	kinds := a.config.Settings.NodeKinds
+	if n.entry.State == placement.Removed || int(n.entry.Kind) >= len(kinds) {
+		return 0, 0
+	}
+	size := kinds[n.entry.Kind]
+	if !a.config.Settings.EntriesCarryCapacity {
+		return size.Cores, size.Memory
+	}
+	return size.Cores - n.entry.FreeCores, size.Memory - n.entry.FreeMemory
+}
+
 // endUnlisted ends the workloads on nodes that the endpoint list has not contained for unlistedTimeout, although the
 // discovery service is connected.
 func (a *adoptions) endUnlisted(now placement.Millis) {
--- a/internal/frontend/platform/handovers.go
+++ b/internal/frontend/platform/handovers.go
@@ -89,22 +89,50 @@
 	return tags
 }
 
-// evictionOrder returns the tags to evict, evictedHandovers of the table: first those of the connections that have
-// handed over the most, open or closed, and of each the latest first. A client that hands over workloads that do not
-// exist makes room with its own.
-func (t *handoverTable) evictionOrder() []codec.Tag {
-	bySource := map[transport.ConnID][]codec.Tag{}
-	for tag, h := range t.byTag {
-		bySource[h.client] = append(bySource[h.client], tag)
+// evictionGroup is a set of handovers that are evicted together.
+type evictionGroup struct {
+	excessive bool             // handovers on the node request more than the endpoint list shows as requested there
+	closed    bool             // the connection of the handovers has ended
+	client    transport.ConnID // connection of the handovers
+	tags      []codec.Tag
+}
+
+// evictedBefore defines the order of eviction. Not all handovers to a node with excessive ones can exist, so those come
+// first. Then come those of closed connections, then those of the connections that have handed over the most: a client
+// that hands over workloads that do not exist makes room with its own.
+func (g *evictionGroup) evictedBefore(other *evictionGroup) int {
+	return cmp.Or(
+		-compareBool(g.excessive, other.excessive),
+		-compareBool(g.closed, other.closed),
+		-cmp.Compare(len(g.tags), len(other.tags)),
+		-cmp.Compare(g.client, other.client),
+	)
+}
+
+// compareBool compares two values; false is less than true.
+func compareBool(x, y bool) int {
+	switch {
+	case x == y:
+		return 0
+	case y:
+		return -1
 	}
+	return 1
+}
+
+// evicted returns the tags to evict, evictedHandovers of the table, in the order of eviction. Of one group, the latest
+// ones come first. isOpen reports whether a connection is open, requested the resources that the endpoint list shows as
+// requested on a node.
+func (t *handoverTable) evicted(
+	isOpen func(client transport.ConnID) bool, requested func(n *node) (cores, memory float64),
+) []codec.Tag {
 	count := max(1, int(evictedHandovers*float64(len(t.byTag))))
 	evicted := make([]codec.Tag, 0, count)
-	for _, source := range largestFirst(bySource) {
-		tags := bySource[source]
-		slices.SortFunc(tags, func(x, y codec.Tag) int {
+	for _, group := range t.evictionGroups(isOpen, t.excessiveNodes(requested)) {
+		slices.SortFunc(group.tags, func(x, y codec.Tag) int {
 			return cmp.Or(cmp.Compare(t.byTag[y].at, t.byTag[x].at), cmp.Compare(x, y))
 		})
-		evicted = append(evicted, tags[:min(len(tags), count-len(evicted))]...)
+		evicted = append(evicted, group.tags[:min(len(group.tags), count-len(evicted))]...)
 		if len(evicted) == count {
 			break
 		}
@@ -112,6 +140,52 @@
 	return evicted
 }
 
+// excessiveNodes returns the nodes on which the handovers request more than the given function returns.
+func (t *handoverTable) excessiveNodes(requested func(n *node) (cores, memory float64)) map[*node]bool {
+	type resources struct{ cores, memory float64 }
+	handedOver := map[*node]resources{}
+	for _, h := range t.byTag {
+		sum := handedOver[h.node]
+		sum.cores += float64(h.cores)
+		sum.memory += float64(h.memory)
+		handedOver[h.node] = sum
+	}
+	excessive := make(map[*node]bool, len(handedOver))
+	for n, sum := range handedOver {
+		cores, memory := requested(n)
+		excessive[n] = sum.cores > cores || sum.memory > memory
+	}
+	return excessive
+}
+
+// evictionGroups returns the handovers in groups, in the order of eviction.
+func (t *handoverTable) evictionGroups(
+	isOpen func(client transport.ConnID) bool, excessive map[*node]bool,
+) []*evictionGroup {
+	type key struct {
+		excessive bool
+		client    transport.ConnID
+	}
+	byKey := map[key]*evictionGroup{}
+	groups := []*evictionGroup{}
+	for tag, h := range t.byTag {
+		k := key{excessive: excessive[h.node], client: h.client}
+		group := byKey[k]
+		if group == nil {
+			group = &evictionGroup{
+				excessive: k.excessive,
+				closed:    !isOpen(h.client),
+				client:    h.client,
+			}
+			byKey[k] = group
+			groups = append(groups, group)
+		}
+		group.tags = append(group.tags, tag)
+	}
+	slices.SortFunc(groups, (*evictionGroup).evictedBefore)
+	return groups
+}
+
 // largestFirst returns the connections in the order of their numbers of items, the largest first, and among equals the
 // latest connection first.
 func largestFirst[T any](bySource map[transport.ConnID][]T) []transport.ConnID {
