Set the event loop of a write backlog once, and observe no closed connection

Found by reading the change again: writeBacklog.opened wrote the field for each connection while the worker may read it, and a check could observe a connection that offering its bytes had closed. A compact handover is not passed to the engine without an id left.

Measured: transport and the platform's frontend pass with the race detector.

--- a/internal/frontend/platform/adoptions.go
+++ b/internal/frontend/platform/adoptions.go
@@ -105,8 +105,11 @@
 }
 
 // reportedOn passes a compact handover to the engine, since its node has reported on the workload. It returns nil if
-// there is none with that tag on the node.
+// there is none with that tag on the node, or no id is left.
 func (a *adoptions) reportedOn(now placement.Millis, n *node, tag codec.Tag) *workload {
+	if a.workloads.idsExhausted() {
+		return nil
+	}
 	h, ok := a.handovers.takeOn(n, tag)
 	if !ok {
 		return nil
@@ -165,8 +168,8 @@
 	}
 }
 
-// evict ends workloads of compact handovers to make room. Client and node are told, so that none of them goes on
-// unnoticed if it exists.
+// evict ends workloads of compact handovers to make room. The client, if it is still connected, and the node are told,
+// so that none of them goes on unnoticed if it exists.
 func (a *adoptions) evict(now placement.Millis) {
 	isOpen := func(client transport.ConnID) bool { return a.clients.get(client) != nil }
 	evicted := a.handovers.evicted(isOpen, a.listedRequests)
--- a/internal/transport/writebacklog.go
+++ b/internal/transport/writebacklog.go
@@ -56,13 +56,14 @@
 }
 
 // opened prepares for a new connection of the event loop.
-func (b *writeBacklog) opened(c *connection) { b.loop = c.socket.EventLoop() }
+func (b *writeBacklog) opened(c *connection) {
+	if b.loop == nil { // set once, since the worker reads it too
+		b.loop = c.socket.EventLoop()
+	}
+}
 
 // written records that the given number of bytes was passed to the socket of a connection.
 func (b *writeBacklog) written(now placement.Millis, c *connection, bytes int) {
-	if c.outbound.closed {
-		return
-	}
 	c.outbound.written += uint64(bytes)
 	b.observe(now, c)
 	if b.exceedsTotal() || b.exceedsBuffer(c) {
@@ -78,8 +79,11 @@
 	delete(b.conns, c)
 }
 
-// observe updates the counts of a connection.
+// observe updates the counts of a connection, unless it was closed.
 func (b *writeBacklog) observe(now placement.Millis, c *connection) {
+	if c.outbound.closed {
+		return
+	}
 	before := c.outbound.waiting
 	c.outbound.observe(now, c.socket.OutboundBuffered())
 	b.total += c.outbound.waiting - before
