Let deadlines of peers wait for the backlog of a stopped process

Timers that are due run before messages that arrived during a stop of the process, so a client's connection ended for want of a first message, and the discovery service's for silence, although the peer had sent.

The test fails without the change: TestClientConns_ProcessStopped_FirstMessageIsAwaited ('closed: should be false'). Tests of the frontends pass.

--- a/internal/frontend/host.go
+++ b/internal/frontend/host.go
@@ -126,6 +126,18 @@
 	h.timers.Schedule(at, call)
 }
 
+// ScheduleDeadline sets a timer for a message that a peer has to send: Wake runs call once the given time has come. If
+// the process was stopped shortly before, the message may wait to be handled; the call is then made a little later.
+func (h *Host) ScheduleDeadline(at placement.Millis, call func(now placement.Millis)) {
+	h.Schedule(at, func(now placement.Millis) {
+		if h.RecentStall() > 0 {
+			h.ScheduleDeadline(now+stallBacklogTime, call)
+			return
+		}
+		call(now)
+	})
+}
+
 // DeferredCalls returns the number of deferred calls that have not run.
 func (h *Host) DeferredCalls() int { return len(h.deferred) }
 
--- a/internal/frontend/host_test.go
+++ b/internal/frontend/host_test.go
@@ -360,3 +360,20 @@
 		Unschedulable: 1,
 	}, counters)
 }
+
+// Guards against deadlines of peers that expire while the process is stopped, before the message that has arrived
+// meanwhile is handled.
+func TestHost_ScheduleDeadline_WaitsForTheBacklogOfAStall(t *testing.T) {
+	var calls []placement.Millis
+	host, _, _ := newTestHost(t, nil)
+	host.Handle(attachedAt, func() {
+		host.ScheduleDeadline(attachedAt+500, func(now placement.Millis) { calls = append(calls, now) })
+		host.ScheduleDeadline(attachedAt+5000, func(now placement.Millis) { calls = append(calls, now) })
+	})
+	host.Wake(attachedAt + 3000) // the process was stopped
+	assert.Empty(t, calls)
+	host.Wake(attachedAt + 3000 + stallBacklogTime)
+	host.Wake(attachedAt + 4000 + stallBacklogTime)
+	host.Wake(attachedAt + 5000)
+	assert.Equal(t, []placement.Millis{attachedAt + 3000 + stallBacklogTime, attachedAt + 5000}, calls)
+}
--- a/internal/frontend/platform/clients.go
+++ b/internal/frontend/platform/clients.go
@@ -92,7 +92,7 @@
 	if len(cs.conns) > cs.limit {
 		cs.evictConnection(now, c)
 	}
-	cs.host.Schedule(now+firstMessageTimeout, func(now placement.Millis) {
+	cs.host.ScheduleDeadline(now+firstMessageTimeout, func(now placement.Millis) {
 		if cs.conns[id] == c && !c.active {
 			cs.counters.Invalid++
 			cs.disconnect(now, c)
--- a/internal/frontend/platform/clients_test.go
+++ b/internal/frontend/platform/clients_test.go
@@ -179,3 +179,17 @@
 	harness.closeConn(otherConn, transport.ErrSlowPeer)
 	assert.Contains(t, log.String(), "unanswered=0 clients=100")
 }
+
+// Guards against a stop of the process that is longer than firstMessageTimeout: the client has sent its first message,
+// which is handled after the timers that are due.
+func TestClientConns_ProcessStopped_FirstMessageIsAwaited(t *testing.T) {
+	harness := newHarness(t)
+	harness.now += 2 * firstMessageTimeout
+	harness.network.now = harness.now
+	harness.Wake(harness.now)
+	assert.False(t, harness.network.closed[harness.clientConn])
+	harness.receive(harness.clientConn, request(7))
+	assert.Equal(t, []sentMessage{anOffer}, harness.sentAbout(harness.nodeConn, 7))
+	harness.advance(1000)
+	assert.False(t, harness.network.closed[harness.clientConn])
+}
--- a/internal/frontend/platform/subscription.go
+++ b/internal/frontend/platform/subscription.go
@@ -104,7 +104,7 @@
 
 // watchSilence reconnects when nothing was received on the connection for silenceTimeout.
 func (s *subscription) watchSilence(conn transport.ConnID) {
-	s.host.Schedule(s.lastReceived+silenceTimeout, func(now placement.Millis) {
+	s.host.ScheduleDeadline(s.lastReceived+silenceTimeout, func(now placement.Millis) {
 		switch {
 		case !s.owns(conn):
 		case now-s.lastReceived < silenceTimeout:
