Limit the health checks that wait for the start for each client connection

Found among the limits that count events before a sound peer has had its turn: 64 checks of all clients together waited until the frontend is ready, further ones passed at once. A client that sends many at a start had the front's check pass before the node list was heard.

The new check of TestLifecycle_PendingHealthChecks_Bounded fails without the change ('another client's check waits'); its earlier checks are as they were.

--- a/internal/frontend/platform/lifecycle.go
+++ b/internal/frontend/platform/lifecycle.go
@@ -15,7 +15,8 @@
 	// releaseTimeout, in ms after drainTimeout, is how long a drain waits for pending releases. The platform kills a
 	// process 3.7 s after SIGTERM.
 	releaseTimeout = placement.Millis(1000)
-	// maxPendingChecks is the maximum number of clients' health checks that wait until the frontend is ready.
+	// maxPendingChecks is the maximum number of health checks of one client connection that wait until the frontend is
+	// ready. That is readyTimeout after the start at the latest, so that the total is bounded too.
 	maxPendingChecks = 64
 )
 
@@ -34,6 +35,7 @@
 	state         lifecycleState
 	drainingSince placement.Millis // valid in lifecycleDraining
 	pendingChecks []clientHealthCheck
+	pendingCount  map[transport.ConnID]int // number of pending checks by client connection
 }
 
 // clientHealthCheck is a client's health check that waits for its reply.
@@ -42,13 +44,16 @@
 	tag    codec.Tag
 }
 
-func newLifecycle(env *environment) *lifecycle { return &lifecycle{environment: env} }
+func newLifecycle(env *environment) *lifecycle {
+	return &lifecycle{environment: env, pendingCount: map[transport.ConnID]int{}}
+}
 
 // checkHealth replies to a client's health check. While the frontend is starting, the replies to up to maxPendingChecks
-// checks are delayed until it is ready; further checks get a reply immediately.
+// checks of each connection are delayed until it is ready; further checks get a reply immediately.
 func (l *lifecycle) checkHealth(client transport.ConnID, tag codec.Tag) {
 	check := clientHealthCheck{client: client, tag: tag}
-	if l.state == lifecycleStarting && len(l.pendingChecks) < maxPendingChecks {
+	if l.state == lifecycleStarting && l.pendingCount[client] < maxPendingChecks {
+		l.pendingCount[client]++
 		l.pendingChecks = append(l.pendingChecks, check)
 		return
 	}
@@ -68,6 +73,7 @@
 	}
 	checks := l.pendingChecks
 	l.pendingChecks = nil
+	clear(l.pendingCount)
 	for _, check := range checks {
 		l.reply(check)
 	}
--- a/internal/frontend/platform/lifecycle_test.go
+++ b/internal/frontend/platform/lifecycle_test.go
@@ -94,6 +94,9 @@
 	harness.receive(harness.clientConn, codec.NewHealthCheck(2))
 	assert.Equal(t, []any{codec.NewHealthReply(2, true)},
 		harness.network.sent[harness.clientConn], "a check beyond the limit gets a reply immediately")
+	harness.openConn(otherConn)
+	harness.receive(otherConn, codec.NewHealthCheck(3))
+	assert.Empty(t, harness.network.sent[otherConn], "another client's check waits until the frontend is ready")
 }
 
 func TestLifecycle_DrainedBeforeReady_PendingHealthChecksFail(t *testing.T) {
