Wait for the backlog in the test of a peer that pauses, in place of a sleep

The test slept 750 ms and expected the 18 MB of answers to wait by then. Traced with the race detector, one processor and 16 busy processes beside it: the backlog forms after 1.09, 1.34 and 1.50 s, since encoding the answers takes as long. The program is right, the test's sleep was wrong.

Change: the test waits until the backlog exceeds the limit and pauses from then on, so that the checks of the backlog surely run while the peer pauses.

--- a/internal/transport/writebacklog_test.go
+++ b/internal/transport/writebacklog_test.go
@@ -47,8 +47,10 @@
 	loop, echo, addr := startEcho(t, limits)
 	peer := dial(t, addr)
 	write(t, peer, floodRequest(300)) // 18 MB, more than the buffers of the operating system hold
-	time.Sleep(3 * duration(backlogCheckInterval))
-	assert.Greater(t, loop.Stats.PeakWriteBacklog.Load(), int64(limits.MaxWriteBuffer))
+	require.Eventually(t, func() bool {
+		return loop.Stats.PeakWriteBacklog.Load() > int64(limits.MaxWriteBuffer)
+	}, eventTimeout, time.Millisecond, "the answers do not exceed the limit")
+	time.Sleep(3 * duration(backlogCheckInterval)) // the pause, in which the backlog is checked
 	requireAnswers(t, peer, 300)
 	echo.closeReasons(t, 0)
 }
