Judge an incomplete message by its progress in place of its age

Cause: Limits.MessageTimeout limited the time from the first to the last byte of a message; bytes that kept arriving did not count.

Excluded by the logged reason: silence timeout, size limit, a malformed event, a close by the service.

Change: each 1,024 bytes of a message extend its deadline by one MessageTimeout, up to two from the last bytes. A message that keeps arriving is taken whatever it takes; one that drips ends after one timeout, one that stops within two. The same holds for all connections. Frontend.Counters.StalledMessages counts the connections that end so.

--- a/internal/frontend/platform/frontend.go
+++ b/internal/frontend/platform/frontend.go
@@ -19,6 +19,7 @@
 package platform
 
 import (
+	"errors"
 	"log/slog"
 	"time"
 
@@ -33,7 +34,7 @@
 	maxWakeInterval = placement.Millis(1000)
 	// endGrace, in ms, is the timeout for a node's confirmation of a release and for its reply to a health check.
 	endGrace = placement.Millis(3000)
-	// messageTimeout, in ms, is the maximum time between the first and the last byte of a received message.
+	// messageTimeout, in ms, is how long a message that has begun may bring no progress; see transport.Limits.
 	messageTimeout = placement.Millis(1000)
 	// maxWriteBuffer is the number of bytes that may wait for one peer; see transport.Limits.
 	maxWriteBuffer = 256 << 10
@@ -55,6 +56,8 @@
 
 	SlowClients uint64 // client connections closed because the client did not read
 	SlowNodes   uint64 // node connections closed because the node did not read
+
+	StalledMessages uint64 // connections closed because a message that had begun did not keep arriving
 }
 
 // environment holds what all parts of a Frontend use. It is not shared with the native frontend, which has other
@@ -199,6 +202,9 @@
 // Closed implements transport.Handler: it handles the end of a connection or a failed dial.
 func (f *Frontend) Closed(now placement.Millis, id transport.ConnID, reason error) {
 	f.host.Handle(now, func() {
+		if errors.Is(reason, transport.ErrMessageTimeout) {
+			f.Counters.StalledMessages++
+		}
 		if f.subscription.owns(id) {
 			f.subscription.closed(now, reason)
 		} else if c := f.nodeConns.get(id); c != nil {
--- a/internal/transport/closereason.go
+++ b/internal/transport/closereason.go
@@ -19,7 +19,8 @@
 	ErrConnectionLost = errors.New("connection lost")
 	// ErrMalformedMessage means that the codec could not decode what the peer sent.
 	ErrMalformedMessage = errors.New("malformed message")
-	// ErrMessageTimeout means that a message was still incomplete Limits.MessageTimeout after its first bytes.
+	// ErrMessageTimeout means that a message was incomplete and its bytes did not keep arriving; see
+	// Limits.MessageTimeout.
 	ErrMessageTimeout = errors.New("message timed out")
 	// ErrSlowPeer means that more than Limits.MaxWriteBuffer bytes waited for the peer to read them.
 	ErrSlowPeer = errors.New("peer reads too slowly")
--- a/internal/transport/connection.go
+++ b/internal/transport/connection.go
@@ -40,9 +40,9 @@
 	cancelDial  context.CancelFunc // nil for incoming connections
 	writeBuffer []byte             // encoded messages not yet flushed
 
-	shared     sharedState
-	incomplete incompleteMessage
-	outbound   outbound // used by the event loop only
+	shared   sharedState
+	inbound  inbound
+	outbound outbound // used by the event loop only
 }
 
 // sharedState is the state of a connection that its worker and its event loop both access.
--- a/internal/transport/messagetimeout_test.go
+++ b/internal/transport/messagetimeout_test.go
@@ -1,6 +1,8 @@
 package transport
 
 import (
+	"net"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -8,6 +10,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"grebeglade/placement"
 	pb "grebeglade/proto/grebeglade/v1"
 )
 
@@ -73,3 +76,106 @@
 	echo.closeReasons(t, 0)
 	assert.Zero(t, loop.Stats.SlowPeers.Load())
 }
+
+// piecesTimeout is the MessageTimeout of the tests that send a message in pieces.
+const piecesTimeout = placement.Millis(200)
+
+// startPieces starts an echoHandler with piecesTimeout, and returns a connection to it and an encoded request of over
+// 60,000 bytes.
+func startPieces(t *testing.T) (echo *echoHandler, peer net.Conn, request []byte) {
+	t.Helper()
+	limits := DefaultLimits
+	limits.MessageTimeout = piecesTimeout
+	_, echo, addr := startEcho(t, limits)
+	request, err := AppendFrame(nil, floodRequest(1))
+	require.NoError(t, err)
+	return echo, dial(t, addr), request
+}
+
+// writePieces writes a message in pieces, with a pause after each.
+func writePieces(peer net.Conn, message []byte, size int, pause placement.Millis) error {
+	for piece := range slices.Chunk(message, size) {
+		if _, err := peer.Write(piece); err != nil {
+			return err
+		}
+		time.Sleep(duration(pause))
+	}
+	return nil
+}
+
+// Guards against a message timeout that counts whole messages: it cut off a long message whose bytes kept arriving, as
+// often as its peer sent it.
+func TestLoop_MessageKeepsArriving_TakenWhateverItTakes(t *testing.T) {
+	for name, pieces := range map[string]struct {
+		size  int
+		pause placement.Millis
+	}{
+		"evenly":                   {size: 4 * progressSize, pause: piecesTimeout / 4},
+		"in bursts over a timeout": {size: 30 * progressSize, pause: piecesTimeout + piecesTimeout/4},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			echo, peer, request := startPieces(t)
+			began := time.Now()
+			require.NoError(t, writePieces(peer, request, pieces.size, pieces.pause))
+			require.Greater(t, time.Since(began), 2*duration(piecesTimeout))
+			f, err := read(peer)
+			require.NoError(t, err)
+			assert.Equal(t, uint64(7), f.GetAnswer().RequestId)
+			echo.closeReasons(t, 0)
+		})
+	}
+}
+
+// Guards against peers that hold a connection with a message that they send byte by byte, or have stopped to send after
+// a large part of it.
+func TestLoop_MessageDripsOrStops_CutOffSoon(t *testing.T) {
+	for name, sent := range map[string]struct {
+		atOnce int // bytes that the peer sends before it begins to drip
+		drips  bool
+	}{
+		"drips from the start":     {drips: true},
+		"drips after a large part": {atOnce: 50 * progressSize, drips: true},
+		"stops after a large part": {atOnce: 50 * progressSize},
+	} {
+		t.Run(name, func(t *testing.T) {
+			echo, peer, request := startPieces(t)
+			_, err := peer.Write(request[:sent.atOnce])
+			require.NoError(t, err)
+			began := time.Now()
+			if sent.drips {
+				go func() { _ = writePieces(peer, request[sent.atOnce:], 1, 5) }() // fails once the connection is closed
+			}
+			require.ErrorIs(t, echo.closeReasons(t, 1)[0], ErrMessageTimeout)
+			took := time.Since(began)
+			assert.Greater(t, took, duration(piecesTimeout)/2)
+			assert.Less(t, took, 10*duration(piecesTimeout), "2 timeouts, and time that a busy machine takes")
+		})
+	}
+}
+
+// Guards the bounds of the deadline from both sides: 1,024 bytes extend it by one timeout, fewer do not. It is at most
+// two timeouts after the last bytes.
+func TestInbound_Deadline(t *testing.T) {
+	const timeout = placement.Millis(1000)
+	var message inbound
+	message.begin(10_000, timeout)
+	for _, step := range []struct {
+		at    placement.Millis
+		bytes int
+		want  placement.Millis
+	}{
+		{at: 10_000, bytes: 1023, want: 11_000},
+		{at: 10_900, bytes: 1, want: 12_000},
+		{at: 11_000, bytes: 500, want: 12_000},
+		{at: 11_100, bytes: 524, want: 13_000},
+		{at: 11_200, bytes: 1024, want: 13_200},
+		{at: 11_300, bytes: 50 * 1024, want: 13_300},
+		{at: 13_200, bytes: 1023, want: 13_300},
+		{at: 13_250, bytes: 1, want: 14_300},
+		{at: 20_000, bytes: 2048, want: 16_300}, // read late: the bytes count as if they had arrived in time
+	} {
+		message.progress(step.at, step.bytes, timeout)
+		assert.InDelta(t, float64(step.want), float64(message.deadline), 0, "%v bytes at %v", step.bytes, step.at)
+	}
+}
--- a/internal/transport/socketevents.go
+++ b/internal/transport/socketevents.go
@@ -64,8 +64,9 @@
 		e.reportMalformed(conn, err)
 		return gnet.Close
 	}
+	arrived := conn.inbound.arrived(len(unread), used)
 	if e.worker.limits.MessageTimeout > 0 {
-		conn.watchMessage(used > 0, used < len(unread))
+		conn.watchMessage(e.worker.loop.Now(), arrived, used > 0, used < len(unread))
 	}
 	return gnet.None
 }
