Count a message as complete only once its codec has completed it

What callers would see: an event of the discovery service that arrives line by line or in chunks of a few bytes is never cut off, however slowly it arrives, and holds back all later ones. Events at the beginning of a long chunk wait for its end.

Cause: the transport took bytes that a codec consumed for a complete message, and DiscoveryCodec consumes lines and chunks. decodeChunk decoded nothing before the end of the chunk.

Change: a codec that keeps a part of a message reports it (transport.Assembler) and returns no message for it; all bytes read count as progress. DiscoveryCodec decodes the data of a chunk as it arrives; its lines have a type of their own.

--- a/internal/frontend/platform/codec/discovery.go
+++ b/internal/frontend/platform/codec/discovery.go
@@ -32,8 +32,8 @@
 	After uint64
 }
 
-// EventBatch holds the events that were completed by one call of Decode. A response head, a keep-alive comment or an
-// incomplete event yields an empty batch.
+// EventBatch holds the events that were completed by one call of Decode. A response head or a keep-alive comment yields
+// an empty batch.
 type EventBatch struct{ Events []Event }
 
 // Event is an event of the discovery service.
@@ -45,17 +45,16 @@
 // DiscoveryCodec encodes and decodes one connection to the discovery service: an HTTP request, answered by a stream of
 // server-sent events. It has per-connection state; the zero value is ready for a new connection.
 type DiscoveryCodec struct {
-	streaming bool   // the response head was decoded
-	chunked   bool   // the response uses chunked transfer encoding
-	body      []byte // incomplete last line of the chunks received so far, if chunked
-	event     pendingEvent
+	streaming bool // the response head was decoded
+	chunked   bool // the response uses chunked transfer encoding
+	chunk     chunkState
+	lines     eventLines
 }
 
-// pendingEvent is an event whose terminating empty line was not received yet.
-type pendingEvent struct {
-	Event
-	hasID   bool
-	hasData bool
+// chunkState is the position in a stream of chunks.
+type chunkState struct {
+	remaining int  // bytes of the current chunk that were not received yet
+	ending    bool // the data of the current chunk is complete, and the line end after it was not received
 }
 
 // Urgent makes the transport deliver events ahead of queued messages, since a drain applies from the time when it is
@@ -72,8 +71,9 @@
 		subscribe.Host, subscribe.After), nil
 }
 
-// Decode decodes the complete response head, chunk or lines at the beginning of b into an *EventBatch, and returns the
-// number of bytes decoded, which is 0 if nothing is complete.
+// Decode decodes the response head, once it is complete, and after it any bytes of the stream. The message is an
+// *EventBatch, or nil if the bytes leave an event incomplete and complete no other. It returns the number of bytes
+// decoded, which is 0 if nothing could be decoded.
 func (s *DiscoveryCodec) Decode(b []byte) (message any, n int, err error) {
 	var batch *EventBatch
 	switch {
@@ -82,14 +82,21 @@
 	case s.chunked:
 		batch, n, err = s.decodeChunk(b)
 	default:
-		batch, n, err = s.decodeLines(b)
+		batch, err = s.lines.decode(b)
+		n = len(b)
 	}
 	if n == 0 || err != nil {
 		return nil, 0, err
 	}
+	if batch == nil || len(batch.Events) == 0 && s.Assembling() {
+		return nil, n, nil
+	}
 	return batch, n, nil
 }
 
+// Assembling reports whether a part of an event was decoded and its end was not.
+func (s *DiscoveryCodec) Assembling() bool { return s.lines.incomplete() }
+
 // decodeHead decodes the response head, once it is complete.
 func (s *DiscoveryCodec) decodeHead(b []byte) (*EventBatch, int, error) {
 	end := bytes.Index(b, []byte(headEnd))
@@ -114,28 +121,48 @@
 	return &EventBatch{}, end + len(headEnd), nil
 }
 
-// decodeChunk decodes one chunk, once it is complete.
+// decodeChunk decodes what was received of the current chunk, or the line before the next chunk. The batch is nil if no
+// data of a chunk was decoded.
 func (s *DiscoveryCodec) decodeChunk(b []byte) (*EventBatch, int, error) {
+	switch {
+	case s.chunk.remaining > 0:
+		data := b[:min(len(b), s.chunk.remaining)]
+		s.chunk.remaining -= len(data)
+		s.chunk.ending = s.chunk.remaining == 0
+		batch, err := s.lines.decode(data)
+		return batch, len(data), err
+	case s.chunk.ending:
+		return nil, s.decodeChunkEnd(b), nil
+	default:
+		n, err := s.decodeChunkHeader(b)
+		return nil, n, err
+	}
+}
+
+// decodeChunkEnd decodes the line end after the data of a chunk, once it is complete.
+func (s *DiscoveryCodec) decodeChunkEnd(b []byte) int {
+	if len(b) < len(lineEnd) {
+		return 0
+	}
+	s.chunk.ending = false
+	return len(lineEnd)
+}
+
+// decodeChunkHeader decodes the line with the chunk size, once it is complete.
+func (s *DiscoveryCodec) decodeChunkHeader(b []byte) (int, error) {
 	end := bytes.Index(b[:min(len(b), maxChunkHeader)], []byte(lineEnd))
 	if end < 0 {
 		if len(b) >= maxChunkHeader {
-			return nil, 0, fmt.Errorf("%w: chunk size line has no end", ErrMalformed)
+			return 0, fmt.Errorf("%w: chunk size line has no end", ErrMalformed)
 		}
-		return nil, 0, nil
+		return 0, nil
 	}
 	size, err := parseChunkSize(string(b[:end]))
 	if err != nil {
-		return nil, 0, err
-	}
-	from := end + len(lineEnd)
-	to := from + size
-	if len(b) < to+len(lineEnd) {
-		return nil, 0, nil
+		return 0, err
 	}
-	s.body = append(s.body, b[from:to]...)
-	batch, used, err := s.decodeLines(s.body)
-	s.body = append(s.body[:0], s.body[used:]...)
-	return batch, to + len(lineEnd), err
+	s.chunk.remaining = size
+	return end + len(lineEnd), nil
 }
 
 // parseChunkSize parses the size in the line before a chunk, ignoring chunk extensions. It returns ErrStreamEnded for
@@ -151,53 +178,3 @@
 	}
 	return int(size), nil
 }
-
-// decodeLines decodes all complete lines, and returns their total length in bytes.
-func (s *DiscoveryCodec) decodeLines(b []byte) (*EventBatch, int, error) {
-	batch := &EventBatch{}
-	used := 0
-	for {
-		end := bytes.IndexByte(b[used:], '\n')
-		if end < 0 {
-			break
-		}
-		text := bytes.TrimSuffix(b[used:used+end], []byte("\r"))
-		used += end + 1
-		if len(text) > 0 {
-			if err := s.event.addLine(text); err != nil {
-				return nil, used, err
-			}
-			continue
-		}
-		if s.event.hasID && s.event.hasData {
-			batch.Events = append(batch.Events, s.event.Event)
-		}
-		s.event = pendingEvent{}
-	}
-	if len(b)-used > maxEventSize || len(s.event.Data) > maxEventSize {
-		return nil, used, fmt.Errorf("%w: event exceeds %d bytes", ErrTooLong, maxEventSize)
-	}
-	return batch, used, nil
-}
-
-// addLine adds a line to the event. The line must not be empty. Comments and unknown fields are ignored.
-func (e *pendingEvent) addLine(text []byte) error {
-	name, value, _ := bytes.Cut(text, []byte(":"))
-	value = bytes.TrimPrefix(value, []byte(" "))
-	switch string(name) {
-	case "id":
-		revision, err := strconv.ParseUint(string(value), 10, 64)
-		if err != nil {
-			return fmt.Errorf("%w: event id %.40q is not a number", ErrMalformed, value)
-		}
-		e.Revision = revision
-		e.hasID = true
-	case "data":
-		if e.hasData {
-			e.Data = append(e.Data, '\n')
-		}
-		e.Data = append(e.Data, value...)
-		e.hasData = true
-	}
-	return nil
-}
--- a/internal/frontend/platform/codec/discovery_test.go
+++ b/internal/frontend/platform/codec/discovery_test.go
@@ -78,3 +78,42 @@
 		"Accept: text/event-stream\r\n"+
 		"Last-Event-ID: 41\r\n\r\n", string(b))
 }
+
+// Guards against a codec that decodes a chunk only once it is complete: the events at its beginning waited for its end.
+func TestDiscoveryCodec_ChunkIncomplete_CompleteEventsDecoded(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+	decoder := &DiscoveryCodec{}
+	events, err := readStream(decoder, head+"f0000\r\nid: 4\ndata: x\n\nid: 5\ndata: incomplete", 1000)
+	require.NoError(t, err)
+	assert.Equal(t, []Event{{4, []byte("x")}}, events)
+	assert.True(t, decoder.Assembling())
+}
+
+// Guards the messages by which the transport and the frontend recognise progress: a part of an event yields none, and
+// leaves the codec assembling; a comment yields an empty batch.
+func TestDiscoveryCodec_PartOfAnEvent_NoMessage(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\n\r\n"
+	decoder := &DiscoveryCodec{}
+	_, n, err := decoder.Decode([]byte(head))
+	require.NoError(t, err)
+	require.Equal(t, len(head), n)
+	for _, part := range []struct {
+		text       string
+		want       any
+		assembling bool
+	}{
+		{": up\n\n", &EventBatch{}, false},
+		{"id: 4\n", nil, true},
+		{": a comment\n", nil, true},
+		{"data: x", nil, true},
+		{"\n", nil, true},
+		{"\nid: 5\n", &EventBatch{Events: []Event{{4, []byte("x")}}}, true},
+		{"data: y\n\n", &EventBatch{Events: []Event{{5, []byte("y")}}}, false},
+	} {
+		got, n, err := decoder.Decode([]byte(part.text))
+		require.NoError(t, err)
+		assert.Equal(t, len(part.text), n, "%q", part.text)
+		assert.Equal(t, part.want, got, "%q", part.text)
+		assert.Equal(t, part.assembling, decoder.Assembling(), "%q", part.text)
+	}
+}
--- a/internal/transport/messagetimeout.go
+++ b/internal/transport/messagetimeout.go
@@ -15,6 +15,12 @@
 	maxProgressTimeouts = 2
 )
 
+// Assembler is implemented by a Codec whose Decode consumes the bytes of a message before the message is complete.
+type Assembler interface {
+	// Assembling reports whether a part of a message was consumed and the rest was not. The event loop calls it.
+	Assembling() bool
+}
+
 // inbound tracks the incomplete message at the end of the bytes that a connection has received. Unless noted otherwise,
 // its fields are used by the event loop only.
 type inbound struct {
@@ -66,8 +72,8 @@
 }
 
 // watchMessage tracks the incomplete message of the connection against Limits.MessageTimeout. The event loop calls it
-// after each read: arrived is the number of bytes read, completed reports whether any were consumed, and incomplete
-// whether bytes of an incomplete message remain.
+// after each read: arrived is the number of bytes read, completed reports whether they completed a message, and
+// incomplete whether they leave an incomplete one.
 func (c *connection) watchMessage(now placement.Millis, arrived int, completed, incomplete bool) {
 	if completed || !incomplete {
 		c.inbound.number.Store(0)
--- a/internal/transport/socketevents.go
+++ b/internal/transport/socketevents.go
@@ -66,11 +66,18 @@
 	}
 	arrived := conn.inbound.arrived(len(unread), used)
 	if e.worker.limits.MessageTimeout > 0 {
-		conn.watchMessage(e.worker.loop.Now(), arrived, used > 0, used < len(unread))
+		incomplete := used < len(unread) || assembling(conn.codec)
+		conn.watchMessage(e.worker.loop.Now(), arrived, len(messages) > 0, incomplete)
 	}
 	return gnet.None
 }
 
+// assembling reports whether the codec has consumed a part of a message and waits for the rest.
+func assembling(codec Codec) bool {
+	assembler, ok := codec.(Assembler)
+	return ok && assembler.Assembling()
+}
+
 // decode returns the complete messages at the beginning of unread, and the number of bytes consumed. On error it also
 // returns the messages before the malformed one.
 func (e *socketEvents) decode(conn *connection, unread []byte) (messages []event, used int, err error) {
