Take a part of an event for a sign of life of the discovery service

What callers would see: with the message timeout mended, an event that takes over 2.5 s to arrive (50 KB at 20 KB a second, about 330 nodes) is still cut off and requested again without end.

Cause: subscription.watchSilence counted whole events and comments; the service cannot send a comment in the middle of an event.

Change: the network says whether a part of a message has arrived (transport.Receiving). While it has, the connection is not silent, and the transport ends it when the bytes do not keep arriving.

--- a/internal/frontend/platform/fakenetwork_test.go
+++ b/internal/frontend/platform/fakenetwork_test.go
@@ -14,6 +14,7 @@
 	sent         map[transport.ConnID][]any
 	closed       map[transport.ConnID]bool // closed by the frontend
 	closedByPeer map[transport.ConnID]bool // closed by the peer, not yet handled by the frontend
+	receiving    map[transport.ConnID]bool // a part of a message has arrived
 	wakeups      []placement.Millis        // the last requested wake-up
 }
 
@@ -23,6 +24,7 @@
 		sent:         map[transport.ConnID][]any{},
 		closed:       map[transport.ConnID]bool{},
 		closedByPeer: map[transport.ConnID]bool{},
+		receiving:    map[transport.ConnID]bool{},
 	}
 }
 
@@ -40,6 +42,8 @@
 
 func (f *fakeNetwork) IsClosed(c transport.ConnID) bool { return f.closed[c] || f.closedByPeer[c] }
 
+func (f *fakeNetwork) Receiving(c transport.ConnID) bool { return f.receiving[c] }
+
 func (f *fakeNetwork) WakeAt(at placement.Millis) { f.wakeups = append(f.wakeups[:0], at) }
 
 func (f *fakeNetwork) Now() placement.Millis { return f.now }
--- a/internal/frontend/platform/slowdiscovery_test.go
+++ b/internal/frontend/platform/slowdiscovery_test.go
@@ -51,3 +51,16 @@
 	h.waitUntil(t, func() bool { return h.nodeState() == placement.Draining })
 	h.waitUntil(t, func() bool { return h.Counters.StalledMessages == 1 })
 }
+
+// Guards against a silence timeout that counts whole events: it replaced the connection during an event that takes
+// longer, or during several in a row.
+func TestSubscription_EventsTakeLongerThanTheSilenceTimeout_Applied(t *testing.T) {
+	t.Parallel()
+	h := startWithDiscovery(t)
+	const pieceSize = 1000 // 20 kB a second
+	size := int(1.2 * float64(silenceTimeout) / 1000 * 20 * pieceSize)
+	events := sseEvent(2, longEvent(size)) + sseEvent(3, nodeEvent(3, "Ready", 0)) + sseEvent(4, longEvent(size))
+	require.NoError(t, h.discovery.write(events, pieceSize))
+	h.waitUntil(t, func() bool { return h.nodeState() == placement.Draining && h.subscription.revision == 4 })
+	assert.Equal(t, 1, h.discovery.subscriptions())
+}
--- a/internal/frontend/platform/subscription.go
+++ b/internal/frontend/platform/subscription.go
@@ -58,7 +58,7 @@
 	conn         transport.ConnID // invalid in subscriptionDown
 	revision     uint64           // revision of the last event that was applied or skipped
 	openedAt     placement.Millis // time when conn was opened; valid in subscriptionOpen
-	lastReceived placement.Millis // time of the last message, or of dialing or opening
+	lastReceived placement.Millis // time of the last message or part of one, or of dialing or opening
 	failures     int              // lost connections and failed dials since the last new event or change of address
 	malformed    int              // failed attempts to decode the next event
 }
@@ -102,16 +102,21 @@
 	return s.openedAt, s.state == subscriptionOpen
 }
 
-// watchSilence reconnects when nothing was received on the connection for silenceTimeout.
+// watchSilence reconnects when nothing was received on the connection for silenceTimeout. A part of an event counts: the
+// rest may take longer, and the transport ends the connection if it stops arriving.
 func (s *subscription) watchSilence(conn transport.ConnID) {
 	s.host.ScheduleDeadline(s.lastReceived+silenceTimeout, func(now placement.Millis) {
-		switch {
-		case !s.owns(conn):
-		case now-s.lastReceived < silenceTimeout:
+		if !s.owns(conn) {
+			return
+		}
+		if transport.Receiving(s.net, conn) {
+			s.lastReceived = now
+		}
+		if now-s.lastReceived < silenceTimeout {
 			s.watchSilence(conn)
-		default:
-			s.reconnect(now, errSilent)
+			return
 		}
+		s.reconnect(now, errSilent)
 	})
 }
 
--- a/internal/frontend/platform/subscription_test.go
+++ b/internal/frontend/platform/subscription_test.go
@@ -102,3 +102,17 @@
 	harness.Reload(harness.now, movedAddr)
 	assert.Zero(t, harness.subscription.failures)
 }
+
+// Guards both sides of the silence timeout: a connection on which a part of an event has arrived is not silent, and one
+// that falls silent afterwards is replaced.
+func TestSubscription_PartOfAnEvent_IsNoSilence(t *testing.T) {
+	harness := newHarness(t)
+	conn := harness.discoveryConn()
+	harness.network.receiving[conn] = true
+	harness.advance(4 * silenceTimeout)
+	assert.False(t, harness.network.closed[conn])
+	harness.network.receiving[conn] = false
+	harness.advance(silenceTimeout + 100)
+	assert.True(t, harness.network.closed[conn])
+	assert.Greater(t, harness.discoveryConn(), conn)
+}
--- /dev/null
+++ b/internal/transport/receiving.go
@@ -0,0 +1,30 @@
+package transport
+
+// PartialReceiver is implemented by networks on which the parts of a message may arrive one after the other.
+type PartialReceiver interface {
+	// Receiving reports whether a part of a message has arrived on a connection and the rest has not. If its bytes do not
+	// keep arriving, Limits.MessageTimeout ends the connection.
+	Receiving(c ConnID) bool
+}
+
+// Receiving reports whether a part of a message has arrived on a connection of the network and the rest has not, so that
+// its peer is not silent. It is false on networks that deliver messages whole, such as simulated ones. The network is a
+// Network or a FrameNetwork.
+func Receiving(network any, c ConnID) bool {
+	receiver, ok := network.(PartialReceiver)
+	return ok && receiver.Receiving(c)
+}
+
+var (
+	_ PartialReceiver = (*worker)(nil)
+	_ PartialReceiver = frameNetwork{}
+)
+
+// Receiving implements PartialReceiver.
+func (w *worker) Receiving(id ConnID) bool {
+	c := w.conns.find(id)
+	return c != nil && !c.shared.ended.Load() && c.inbound.number.Load() != 0
+}
+
+// Receiving implements PartialReceiver.
+func (n frameNetwork) Receiving(c ConnID) bool { return Receiving(n.Network, c) }
