Let a client's first message arrive at its own rate

What callers would see: a client whose first request takes over 2 s to arrive (13 KB at 5 KB a second) is disconnected without an answer, on each new connection again.

Cause: clientConns.opened closed a connection without a whole message after firstMessageTimeout, also while its bytes were arriving.

Change: while a part of the first message has arrived, the transport's message timeout applies.

Failed before: TestClientConns_FirstMessageArrivesSlowly_Answered ('broken pipe' after 2.1 s). TestClientConns_FirstMessageDrips_CutOff guards the other side and held before too.

--- a/internal/frontend/platform/clients.go
+++ b/internal/frontend/platform/clients.go
@@ -16,8 +16,8 @@
 	// extraClientConns is the number of connections that are accepted beyond that share, so that the frontend can choose
 	// which connection to evict.
 	extraClientConns = 8
-	// firstMessageTimeout, in ms, is how long a connection may stay open before its first message. The platform expects
-	// a reply within 3 s.
+	// firstMessageTimeout, in ms, is how long a connection may stay open before its first message begins to arrive. The
+	// platform expects a reply within 3 s.
 	firstMessageTimeout = placement.Millis(2000)
 	// maxUndelivered is the maximum number of notifications that wait for a client connection.
 	maxUndelivered = 4096
@@ -92,8 +92,18 @@
 	if len(cs.conns) > cs.limit {
 		cs.evictConnection(now, c)
 	}
-	cs.host.ScheduleDeadline(now+firstMessageTimeout, func(now placement.Millis) {
-		if cs.conns[id] == c && !c.active {
+	cs.watchFirstMessage(now+firstMessageTimeout, c)
+}
+
+// watchFirstMessage closes a connection whose first message has not begun to arrive at the given time. If a part of the
+// message has arrived, the transport ends the connection when its bytes do not keep arriving.
+func (cs *clientConns) watchFirstMessage(at placement.Millis, c *clientConn) {
+	cs.host.ScheduleDeadline(at, func(now placement.Millis) {
+		switch {
+		case cs.conns[c.id] != c || c.active:
+		case transport.Receiving(cs.net, c.id):
+			cs.watchFirstMessage(now+messageTimeout, c)
+		default:
 			cs.counters.Invalid++
 			cs.disconnect(now, c)
 		}
