Skip an event that is too large in place of asking for it again without end

What callers would see: after one event of the discovery service of more than 1 MiB (about 6,800 nodes) no later event is received either: drains, removed and new nodes stay unknown, with INFO lines only.

Cause: DiscoveryCodec returned an error, which ends the connection, and the subscription asks for the same event again.

Frontend.Counters.SkippedEvents counts skipped events, also those that cannot be decoded.

Failed before: TestDiscoveryCodec_EventTooLarge_SkippedAndNextDecoded, 4 of 5 cases ('message exceeds its size limit').

--- a/internal/frontend/platform/codec/discovery.go
+++ b/internal/frontend/platform/codec/discovery.go
@@ -9,9 +9,11 @@
 )
 
 const (
-	// maxEventSize is the maximum size of a line, a chunk and an event of the discovery service, in bytes. A list of
-	// several thousand nodes fits.
-	maxEventSize = 1 << 20
+	// MaxEventSize is the maximum size of an event of the discovery service, and of a chunk, in bytes. A list of several
+	// thousand nodes fits.
+	MaxEventSize = 1 << 20
+	// maxSkippedSize is the size in bytes above which an event counts as one without an end.
+	maxSkippedSize = 16 * MaxEventSize
 	// maxChunkHeader is the maximum size, in bytes, of the line with the chunk size that precedes each chunk.
 	maxChunkHeader = 32
 
@@ -39,7 +41,7 @@
 // Event is an event of the discovery service.
 type Event struct {
 	Revision uint64
-	Data     []byte // JSON; decoded by DecodeEndpoints
+	Data     []byte // JSON; decoded by DecodeEndpoints. It is nil if the event was too large to be received
 }
 
 // DiscoveryCodec encodes and decodes one connection to the discovery service: an HTTP request, answered by a stream of
@@ -170,7 +172,7 @@
 func parseChunkSize(header string) (int, error) {
 	digits, _, _ := strings.Cut(header, ";")
 	size, err := strconv.ParseUint(strings.TrimSpace(digits), 16, 32)
-	if err != nil || size > maxEventSize {
+	if err != nil || size > MaxEventSize {
 		return 0, fmt.Errorf("%w: invalid chunk size %.20q", ErrMalformed, digits)
 	}
 	if size == 0 {
--- a/internal/frontend/platform/codec/discovery_test.go
+++ b/internal/frontend/platform/codec/discovery_test.go
@@ -58,7 +58,7 @@
 		chunked + strings.Repeat("1", maxChunkHeader):        ErrMalformed,
 		chunked + "0\r\n\r\n":                                ErrStreamEnded,
 		strings.Repeat("x", MaxMessageSize+1):                ErrTooLong,
-		plain + strings.Repeat("x", maxEventSize+1):          ErrTooLong,
+		plain + strings.Repeat("x", MaxEventSize+1):          ErrTooLong,
 		plain + "data: " + strings.Repeat("x", 2) + "\n\r\n": nil,
 	} {
 		_, err := readStream(&DiscoveryCodec{}, text, len(text))
@@ -117,3 +117,40 @@
 		assert.Equal(t, part.assembling, decoder.Assembling(), "%q", part.text)
 	}
 }
+
+// Guards against an event that is too large to be kept: it ended the connection, and was requested again without end.
+// It is reported without its data, in bounded memory, and the events after it are decoded.
+func TestDiscoveryCodec_EventTooLarge_SkippedAndNextDecoded(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\n\r\n"
+	idLine, dataLine, next := "id: 4\n", "data: ", "\n\nid: 5\ndata: y\n\n"
+	fits := MaxEventSize - len(idLine) - len(dataLine) + 1 // line ends do not count
+	for name, event := range map[string]struct {
+		data string
+		want int // bytes of data that are kept, or 0 if the event is too large
+	}{
+		"at the limit":    {data: strings.Repeat("x", fits), want: fits},
+		"above the limit": {data: strings.Repeat("x", fits+1)},
+		"far above":       {data: strings.Repeat("x", 8*MaxEventSize)},
+		"several lines":   {data: strings.Repeat("x", fits/2) + "\ndata: " + strings.Repeat("y", fits)},
+		"id at the end":   {data: strings.Repeat("x", 2*MaxEventSize) + "\nid: 4"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			decoder := &DiscoveryCodec{}
+			events, err := readStream(decoder, head+idLine+dataLine+event.data+next, 100_000)
+			require.NoError(t, err)
+			require.Len(t, events, 2)
+			assert.Equal(t, uint64(4), events[0].Revision)
+			assert.Len(t, events[0].Data, event.want)
+			assert.Equal(t, event.want == 0, events[0].Data == nil)
+			assert.Equal(t, Event{5, []byte("y")}, events[1])
+			assert.Less(t, cap(decoder.lines.line), 2*MaxEventSize)
+		})
+	}
+}
+
+// Guards against an event without an end, which would hold back all others.
+func TestDiscoveryCodec_EventWithoutEnd_Error(t *testing.T) {
+	const start = "HTTP/1.1 200 OK\r\n\r\nid: 4\ndata: "
+	_, err := readStream(&DiscoveryCodec{}, start+strings.Repeat("x", maxSkippedSize), 1<<20)
+	require.ErrorIs(t, err, ErrTooLong)
+}
--- a/internal/frontend/platform/frontend.go
+++ b/internal/frontend/platform/frontend.go
@@ -57,6 +57,7 @@
 	SlowClients uint64 // client connections closed because the client did not read
 	SlowNodes   uint64 // node connections closed because the node did not read
 
+	SkippedEvents   uint64 // events of the discovery service that could not be applied, or were too large
 	StalledMessages uint64 // connections closed because a message that had begun did not keep arriving
 }
 
--- a/internal/frontend/platform/slowclients_test.go
+++ b/internal/frontend/platform/slowclients_test.go
@@ -17,8 +17,8 @@
 
 // requestLine returns a client's request with a description of the given size in bytes.
 func requestLine(tag codec.Tag, descriptionSize int) string {
-	return fmt.Sprintf(`{"verb":"START","tag":%q,"opts":{"class":"tiles","left":"6000","extras":"cores:1;memory:2"},"blob":%q}`+"\n",
-		tag, strings.Repeat("d", descriptionSize))
+	const format = `{"verb":"START","tag":%q,"opts":{"class":"tiles","left":"6000","extras":"cores:1;memory:2"},"blob":%q}`
+	return fmt.Sprintf(format+"\n", tag, strings.Repeat("d", descriptionSize))
 }
 
 // dialClient connects a client until the end of the test.
--- a/internal/frontend/platform/subscription.go
+++ b/internal/frontend/platform/subscription.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 
 	"grebeglade/internal/frontend"
 	"grebeglade/internal/frontend/platform/codec"
@@ -28,6 +29,9 @@
 	errMalformedEvent = errors.New("event cannot be decoded")
 )
 
+// errEventTooLarge is logged for an event that was skipped.
+var errEventTooLarge = fmt.Errorf("%w: event exceeds %d bytes", codec.ErrTooLong, codec.MaxEventSize)
+
 // subscribeBackoff is the backoff of connections to the discovery service, in ms. Its maximum is 0.5 s, since the
 // platform expects events to be delivered within 2 s after a connection is lost.
 var subscribeBackoff = frontend.Backoff{Initial: 50, Max: 500}
@@ -102,8 +106,8 @@
 	return s.openedAt, s.state == subscriptionOpen
 }
 
-// watchSilence reconnects when nothing was received on the connection for silenceTimeout. A part of an event counts: the
-// rest may take longer, and the transport ends the connection if it stops arriving.
+// watchSilence reconnects when nothing was received on the connection for silenceTimeout. A part of an event counts:
+// the rest may take longer, and the transport ends the connection if it stops arriving.
 func (s *subscription) watchSilence(conn transport.ConnID) {
 	s.host.ScheduleDeadline(s.lastReceived+silenceTimeout, func(now placement.Millis) {
 		if !s.owns(conn) {
@@ -164,20 +168,40 @@
 }
 
 // applyEvent applies an event if its revision is above the last one. It returns false if the event cannot be decoded
-// and has to be requested again; after maxMalformed attempts the event is skipped.
+// and has to be requested again; after maxMalformed attempts the event is skipped. An event that is too large to be
+// received is skipped at once, since it would not be smaller the next time.
 func (s *subscription) applyEvent(now placement.Millis, event codec.Event) bool {
 	if event.Revision <= s.revision {
 		return true
 	}
-	if err := s.events.apply(now, event.Data); err != nil {
-		s.log.Warn("event of the discovery service not applied", "revision", event.Revision, "error", err)
-		s.malformed++
-		if s.malformed < maxMalformed {
-			return false
-		}
+	if event.Data == nil {
+		s.skip(event.Revision, errEventTooLarge)
+		return true
 	}
-	s.revision = event.Revision
+	err := s.events.apply(now, event.Data)
+	if err == nil {
+		s.advance(event.Revision)
+		return true
+	}
+	s.malformed++
+	if s.malformed >= maxMalformed {
+		s.skip(event.Revision, err)
+		return true
+	}
+	s.log.Warn("event of the discovery service not applied", "revision", event.Revision, "error", err)
+	return false
+}
+
+// skip continues after an event that cannot be applied. What it says of the nodes stays unknown until later events.
+func (s *subscription) skip(revision uint64, reason error) {
+	s.counters.SkippedEvents++
+	s.log.Error("event of the discovery service skipped", "revision", revision, "error", reason)
+	s.advance(revision)
+}
+
+// advance records that the event with the given revision was applied or skipped.
+func (s *subscription) advance(revision uint64) {
+	s.revision = revision
 	s.malformed = 0
 	s.failures = 0
-	return true
 }
--- a/internal/frontend/platform/subscription_test.go
+++ b/internal/frontend/platform/subscription_test.go
@@ -1,6 +1,8 @@
 package platform
 
 import (
+	"log/slog"
+	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/assert"
@@ -116,3 +118,19 @@
 	assert.True(t, harness.network.closed[conn])
 	assert.Greater(t, harness.discoveryConn(), conn)
 }
+
+// Guards against an event that is too large to be received: later events must be applied, and an operator must see it.
+func TestSubscription_EventTooLarge_SkippedWithAnError(t *testing.T) {
+	var log strings.Builder
+	harness := newHarness(t)
+	harness.subscription.log = slog.New(slog.NewTextHandler(&log, nil))
+	conn := harness.discoveryConn()
+	harness.Received(harness.now, conn, &codec.EventBatch{Events: []codec.Event{
+		{Revision: 2, Data: nil},
+		{Revision: 3, Data: nodeEvent(3, "Terminating", 0)},
+	}})
+	assert.False(t, harness.network.closed[conn])
+	assert.Equal(t, placement.Draining, harness.nodes.byName[nodeName].entry.State)
+	assert.Equal(t, uint64(1), harness.Counters.SkippedEvents)
+	assert.Contains(t, log.String(), `level=ERROR msg="event of the discovery service skipped" revision=2`)
+}
--- a/internal/transport/receiving.go
+++ b/internal/transport/receiving.go
@@ -7,9 +7,9 @@
 	Receiving(c ConnID) bool
 }
 
-// Receiving reports whether a part of a message has arrived on a connection of the network and the rest has not, so that
-// its peer is not silent. It is false on networks that deliver messages whole, such as simulated ones. The network is a
-// Network or a FrameNetwork.
+// Receiving reports whether a part of a message has arrived on a connection of the network and the rest has not, so
+// that its peer is not silent. It is false on networks that deliver messages whole, such as simulated ones. The network
+// is a Network or a FrameNetwork.
 func Receiving(network any, c ConnID) bool {
 	receiver, ok := network.(PartialReceiver)
 	return ok && receiver.Receiving(c)
