Answer a client's other requests before its connection ends for a stalled message

What callers would see: when one message stops in the middle, the connection is closed after a second, and the client's other requests on it get no answer, although they had arrived whole and may already run.

Cause: the transport closed the connection in both directions, and clientConns.closed withdraws what is unanswered.

Change: only the input ends; what follows is discarded. transport.InputHandler tells the frontend, which closes a client's connection after the answer to its last request, and others at once. Handlers without that method are closed as before.

Failed before: TestClientConns_MessageStops_OtherRequestsAnswered (EOF after 1.0 s in place of two answers after 2 s).

--- a/internal/frontend/platform/requests.go
+++ b/internal/frontend/platform/requests.go
@@ -179,8 +179,6 @@
 
 // markAnswered records that a request was answered or needs no answer.
 func (h *requestHandler) markAnswered(w *workload) {
-	if c := h.clients.get(w.client); c != nil {
-		delete(c.unanswered, w.id)
-	}
+	h.clients.answered(w)
 	h.workloads.markAnswered(w)
 }
--- a/internal/frontend/platform/slowclients_test.go
+++ b/internal/frontend/platform/slowclients_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"fmt"
+	"io"
 	"net"
 	"slices"
 	"strings"
@@ -17,7 +18,8 @@
 
 // requestLine returns a client's request with a description of the given size in bytes.
 func requestLine(tag codec.Tag, descriptionSize int) string {
-	const format = `{"verb":"START","tag":%q,"opts":{"class":"tiles","left":"6000","extras":"cores:1;memory:2"},"blob":%q}`
+	const format = `{"verb":"START","tag":%q,"opts":{"class":"trace","left":"6000","key":"aa",` +
+		`"extras":"cores:1;memory:2"},"blob":%q}`
 	return fmt.Sprintf(format+"\n", tag, strings.Repeat("d", descriptionSize))
 }
 
@@ -48,7 +50,7 @@
 	require.Greater(t, time.Since(began).Milliseconds(), int64(firstMessageTimeout))
 	answer, err := bufio.NewReader(client).ReadString('\n')
 	require.NoError(t, err)
-	assert.Contains(t, answer, codec.Tag(7).String())
+	assert.Contains(t, answer, `{"verb":"STARTED","tag":"0000000000000007"`)
 }
 
 // Guards against clients that hold a connection with a first message that they send byte by byte.
@@ -69,3 +71,28 @@
 	require.Error(t, err)
 	assert.Less(t, time.Since(began).Milliseconds(), int64(3000), "the platform expects a reply or a close within 3 s")
 }
+
+// Guards against a cut-off that costs the other requests on the connection: a message that stops ended the connection
+// before they were answered. The connection ends after the last answer.
+func TestClientConns_MessageStops_OtherRequestsAnswered(t *testing.T) {
+	t.Parallel()
+	h := startOnSockets(t)
+	h.node.delay.Store(int64(2 * time.Duration(messageTimeout) * time.Millisecond))
+	client := h.dialClient(t)
+	_, err := client.Write([]byte(requestLine(7, 10) + requestLine(8, 10) + requestLine(9, 10)[:50]))
+	require.NoError(t, err)
+	lines := bufio.NewReader(client)
+	var answers []string
+	for range 2 {
+		answer, err := lines.ReadString('\n')
+		require.NoError(t, err)
+		answers = append(answers, answer)
+	}
+	all := strings.Join(answers, "")
+	assert.Contains(t, all, `{"verb":"STARTED","tag":"0000000000000007"`)
+	assert.Contains(t, all, `{"verb":"STARTED","tag":"0000000000000008"`)
+	_, err = lines.ReadString('\n')
+	require.ErrorIs(t, err, io.EOF)
+	h.waitUntil(t, func() bool { return h.Counters.StalledMessages == 1 && len(h.clients.conns) == 0 })
+	assert.Zero(t, h.Counters.Withdrawn)
+}
--- a/internal/frontend/platform/sockets_test.go
+++ b/internal/frontend/platform/sockets_test.go
@@ -6,7 +6,9 @@
 	"net"
 	"net/http"
 	"slices"
+	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -23,21 +25,28 @@
 // writeInterval is the time between two pieces of an event that a stubDiscovery writes slowly.
 const writeInterval = 50 * time.Millisecond
 
-// socketHarness is a frontend on sockets, with a discovery service.
+// socketHarness is a frontend on sockets, with a discovery service and the node of the harness's configuration.
 type socketHarness struct {
 	*Frontend
 	loop      *transport.Loop
 	addr      string // address for clients
 	discovery *stubDiscovery
+	node      *stubNode
 }
 
 // startOnSockets runs a frontend with the harness's configuration until the end of the test.
 func startOnSockets(t *testing.T) *socketHarness {
 	t.Helper()
-	discovery := startDiscovery(t)
+	h := &socketHarness{
+		loop:      transport.NewLoop(nil),
+		discovery: startDiscovery(t),
+		node:      startNode(t),
+	}
 	config := harnessConfig()
-	config.DiscoveryAddress = discovery.listener.Addr().String()
-	h := &socketHarness{Frontend: New(config, nil), loop: transport.NewLoop(nil), discovery: discovery}
+	config.DiscoveryAddress = h.discovery.listener.Addr().String()
+	known := strings.Replace(string(config.KnownEvents[0]), nodeAddr, h.node.listener.Addr().String(), 1)
+	config.KnownEvents[0] = []byte(known)
+	h.Frontend = New(config, nil)
 	newCodec := func() transport.Codec { return codec.ClientCodec{} }
 	addr, err := h.loop.Listen(h.Frontend, newCodec, "127.0.0.1:0", h.Limits())
 	require.NoError(t, err)
@@ -147,6 +156,73 @@
 	return err
 }
 
+// stubNode is a node on a socket. It confirms each offer after a delay.
+type stubNode struct {
+	listener net.Listener
+	delay    atomic.Int64 // nanoseconds from the offer to its confirmation
+	offers   atomic.Int64 // offers so far
+}
+
+func startNode(t *testing.T) *stubNode {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	n := &stubNode{listener: ln}
+	t.Cleanup(func() { _ = ln.Close() }) // the end of the test ignores what is not accepted
+	go n.accept()
+	return n
+}
+
+// accept serves connections until the listener is closed.
+func (n *stubNode) accept() {
+	for {
+		conn, err := n.listener.Accept()
+		if err != nil {
+			return
+		}
+		go n.serve(conn)
+	}
+}
+
+// serve handles the messages of a connection until it ends.
+func (n *stubNode) serve(conn net.Conn) {
+	var received []byte
+	buffer := make([]byte, codec.MaxMessageSize)
+	for {
+		count, err := conn.Read(buffer)
+		if err != nil {
+			return
+		}
+		received = append(received, buffer[:count]...)
+		for {
+			message, used, err := codec.NodeCodec{}.Decode(received)
+			if err != nil || used == 0 {
+				break
+			}
+			received = received[used:]
+			n.reply(conn, message)
+		}
+	}
+}
+
+// reply replies to an offer or a health check.
+func (n *stubNode) reply(conn net.Conn, message any) {
+	switch message := message.(type) {
+	case *codec.Offer:
+		n.offers.Add(1)
+		time.AfterFunc(time.Duration(n.delay.Load()), func() { send(conn, codec.NewConfirmation(message.Tag, "runs")) })
+	case *codec.HealthCheck:
+		time.AfterFunc(time.Duration(n.delay.Load()), func() { send(conn, codec.NewHealthReply(message.Tag, true)) })
+	}
+}
+
+// send writes a message of a node. A connection that has ended is ignored.
+func send(conn net.Conn, message any) {
+	if b, err := (codec.NodeCodec{}).Append(nil, message); err == nil {
+		_, _ = conn.Write(b)
+	}
+}
+
 // sseEvent returns an event in the encoding of the discovery service.
 func sseEvent(revision uint64, data []byte) string {
 	return fmt.Sprintf("id: %d\ndata: %s\n\n", revision, data)
--- a/internal/transport/messagetimeout.go
+++ b/internal/transport/messagetimeout.go
@@ -27,6 +27,7 @@
 	number     atomic.Uint64 // number of the incomplete message, or zero if there is none; loaded by the worker
 	lastNumber uint64        // highest number assigned so far
 	buffered   int           // received bytes that the codec has not consumed
+	ended      bool          // further bytes are discarded
 
 	// Valid while a message is incomplete.
 	begunAt  placement.Millis // time at which its first bytes were read
@@ -112,8 +113,8 @@
 	})
 }
 
-// checkMessage closes the connection if the message with that number is incomplete and its deadline has passed. If its
-// bytes keep arriving, the check is scheduled again. The event loop calls it.
+// checkMessage ends the input of the connection if the message with that number is incomplete and its deadline has
+// passed. If its bytes keep arriving, the check is scheduled again. The event loop calls it.
 func (c *connection) checkMessage(number uint64) {
 	if c.inbound.number.Load() != number || c.shared.ended.Load() {
 		return
@@ -122,5 +123,25 @@
 		c.scheduleMessageCheck()
 		return
 	}
-	c.fail(c.inbound.timeoutError())
+	c.endInput(c.inbound.timeoutError())
+}
+
+// endInput discards what the peer has sent and still sends, and queues the reason for the handler. The event loop calls
+// it.
+func (c *connection) endInput(reason error) {
+	c.inbound.ended = true
+	c.inbound.number.Store(0)
+	c.discardInput()
+	c.worker.queue.push(event{
+		kind:   eventInputEnded,
+		conn:   c,
+		reason: reason,
+	})
+}
+
+// discardInput discards the bytes that were read and not decoded. The event loop calls it.
+func (c *connection) discardInput() {
+	if _, err := c.socket.Discard(-1); err != nil {
+		c.worker.loop.log.Debug("bytes not discarded", "peer", c.socket.RemoteAddr(), "error", err)
+	}
 }
--- a/internal/transport/messagetimeout_test.go
+++ b/internal/transport/messagetimeout_test.go
@@ -179,3 +179,63 @@
 		assert.InDelta(t, float64(step.want), float64(message.deadline), 0, "%v bytes at %v", step.bytes, step.at)
 	}
 }
+
+// drainingHandler is an echoHandler that keeps connections open whose input has ended.
+type drainingHandler struct {
+	*echoHandler
+	ended chan ConnID
+}
+
+func (d drainingHandler) InputEnded(_ placement.Millis, c ConnID, _ error) { d.ended <- c }
+
+// drainingAdapter adapts a drainingHandler to Handler.
+type drainingAdapter struct {
+	frameHandler
+	drainingHandler
+}
+
+func (d drainingAdapter) Start(now placement.Millis, n Network) { d.frameHandler.Start(now, n) }
+
+func (d drainingAdapter) Opened(now placement.Millis, c ConnID) { d.frameHandler.Opened(now, c) }
+
+func (d drainingAdapter) Received(now placement.Millis, c ConnID, m any) {
+	d.frameHandler.Received(now, c, m)
+}
+
+func (d drainingAdapter) Closed(now placement.Millis, c ConnID, reason error) {
+	d.frameHandler.Closed(now, c, reason)
+}
+
+func (d drainingAdapter) Wake(now placement.Millis) { d.frameHandler.Wake(now) }
+
+// Guards the end of a connection's input: what follows the incomplete message is discarded, and the handler can still
+// send messages and close the connection.
+func TestLoop_InputEnded_HandlerSendsAndCloses(t *testing.T) {
+	limits := DefaultLimits
+	limits.MessageTimeout = 50
+	draining := drainingHandler{&echoHandler{}, make(chan ConnID, 1)}
+	codec := frameCodec{limits.MaxFrameSize}
+	handler := drainingAdapter{frameHandler{draining.echoHandler, codec}, draining}
+	loop := NewLoop(nil)
+	addr, err := loop.Listen(handler, func() Codec { return codec }, "127.0.0.1:0", limits)
+	require.NoError(t, err)
+	loop.Run()
+	t.Cleanup(loop.Close)
+	peer := dial(t, addr)
+	_, err = peer.Write([]byte{0, 0})
+	require.NoError(t, err)
+	conn := <-draining.ended
+	_, err = peer.Write(make([]byte, 100_000))
+	require.NoError(t, err)
+	loop.Call(handler, func(placement.Millis) {
+		draining.network.Send(conn, requestWithKey(5))
+		draining.network.Close(conn)
+	})
+	f, err := read(peer)
+	require.NoError(t, err)
+	assert.Equal(t, uint64(5), f.GetPlaceRequest().GetKey())
+	_, err = read(peer)
+	require.Error(t, err)
+	assert.Zero(t, draining.requests)
+	assert.Zero(t, loop.Stats.MalformedMessages.Load())
+}
--- a/internal/transport/queue.go
+++ b/internal/transport/queue.go
@@ -11,10 +11,11 @@
 type eventKind uint8
 
 const (
-	eventCall    eventKind = iota // function call that is due at a given time
-	eventOpened                   // connection established
-	eventMessage                  // message received
-	eventClosed                   // connection ended, or dialing failed
+	eventCall       eventKind = iota // function call that is due at a given time
+	eventOpened                      // connection established
+	eventMessage                     // message received
+	eventInputEnded                  // nothing more is received on the connection, which is still open
+	eventClosed                      // connection ended, or dialing failed
 )
 
 // event is one unit of work of a worker. Fields that do not apply to its kind are zero.
@@ -22,7 +23,7 @@
 	kind    eventKind
 	conn    *connection      // nil for eventCall
 	message any              // set for eventMessage
-	reason  error            // set for eventClosed: why the connection ended
+	reason  error            // set for eventInputEnded and eventClosed: why the input or the connection ended
 	at      placement.Millis // set for eventMessage: time of the read; for eventCall: due time
 	call    func(now placement.Millis)
 }
--- a/internal/transport/worker.go
+++ b/internal/transport/worker.go
@@ -131,6 +131,8 @@
 		w.handleOpened(e.conn)
 	case eventMessage:
 		w.handleMessage(e)
+	case eventInputEnded:
+		w.handleInputEnded(e)
 	case eventClosed:
 		w.handleClosed(e)
 	}
@@ -161,6 +163,18 @@
 	w.handler.Received(w.now, e.conn.id, e.message)
 }
 
+// handleInputEnded passes the end of a connection's input to a handler that still sends messages on it.
+func (w *worker) handleInputEnded(e *event) {
+	handler, ok := w.handler.(InputHandler)
+	switch {
+	case e.conn.state == stateClosed:
+	case ok:
+		handler.InputEnded(w.now, e.conn.id, e.reason)
+	default:
+		e.conn.fail(e.reason)
+	}
+}
+
 func (w *worker) handleClosed(e *event) {
 	c := e.conn
 	w.conns.remove(c.id)
