Let a timed-out bind wait for received messages of its node that are queued

What callers would see: when the allocator is busy for longer than a bind's timeout, it stops a bind that its node has confirmed, sends a second one elsewhere and ejects the node; the workload starts twice.

Cause: the worker runs due timers between the events of a batch, so a bind's timer runs before a reply that was read earlier and is queued. The timeout counted the allocator's own delay.

Change: the transport counts the received messages of each connection that are not handled yet. A silent node is retried as soon as before, other timers are not delayed, and scenarios in virtual time are unchanged (internal/compatibility).

Open, suspected: bytes that the event loop has not read.

--- a/internal/allocator/actions.go
+++ b/internal/allocator/actions.go
@@ -51,6 +51,13 @@
 	Forget(id placement.WorkloadID)
 }
 
+// ReplyQueue is implemented by Actions whose host receives the replies of nodes before it passes them to the engine.
+type ReplyQueue interface {
+	// ReplyQueued reports whether something was received from the node of a bind in flight that may be its reply, and was
+	// not passed to the engine yet.
+	ReplyQueued(id placement.WorkloadID, bind int) bool
+}
+
 // Host is the environment of an engine: it executes the engine's actions and calls Engine.Tick on request.
 type Host interface {
 	Actions
--- a/internal/allocator/bind.go
+++ b/internal/allocator/bind.go
@@ -84,6 +84,9 @@
 		e.execute(now, entry, entry.step.NextStep(now, placement.Result{Kind: placement.TimerFired}))
 		return
 	}
+	if e.waitForQueuedReply(now, entry) {
+		return
+	}
 	if entry.hasClient() {
 		// An at-most-once workload that the node has accepted must not be stopped, because the answer to its client
 		// says that the workload may have run.
@@ -92,6 +95,24 @@
 	e.complete(now, entry, placement.Result{Kind: placement.TimedOut})
 }
 
+// waitForQueuedReply sets the timer of a bind again if its reply may have been received and not been handled yet: the
+// time that a message waits in the host's queue does not count against the node. It returns false if the bind has timed
+// out.
+func (e *Engine) waitForQueuedReply(now placement.Millis, entry *workload) bool {
+	queue, ok := e.host.(ReplyQueue)
+	if !ok || !queue.ReplyQueued(entry.id, entry.bind()) {
+		return false
+	}
+	if entry.queuedReplyUntil == 0 {
+		entry.queuedReplyUntil = min(now+entry.step.QueuedReplyTime, entry.step.AnswerBy)
+	}
+	if now >= entry.queuedReplyUntil {
+		return false
+	}
+	e.timers.setStep(now, entry, min(now+queuedReplyInterval, entry.queuedReplyUntil))
+	return true
+}
+
 // complete ends the open bind of a workload and executes the module's next step.
 func (e *Engine) complete(now placement.Millis, entry *workload, result placement.Result) {
 	if entry.onNode() {
@@ -133,6 +154,7 @@
 	entry.binds++
 	e.logBound(now, entry)
 	if e.enforceTimeouts {
+		entry.queuedReplyUntil = 0
 		e.timers.setStep(now, entry, now+step.Timeout)
 	}
 	e.host.Bind(entry.id, entry.bind(), entry.node, step.Timeout)
--- a/internal/allocator/workload.go
+++ b/internal/allocator/workload.go
@@ -39,6 +39,8 @@
 	node  placement.NodeID // node of the latest bind
 	timer uint64           // timer number of the current step, or noTimer
 	dueAt placement.Millis // due time of the current step; the timer may fire earlier
+
+	queuedReplyUntil placement.Millis // limit of waiting for a queued reply to the latest bind; 0 before its timeout
 }
 
 // confirm updates the state when a node confirms the latest bind.
--- a/internal/frontend/enginehost.go
+++ b/internal/frontend/enginehost.go
@@ -31,4 +31,10 @@
 	e.Actions.CheckHealth(node)
 }
 
+// ReplyQueued implements allocator.ReplyQueue for frontends that do.
+func (e *engineHost) ReplyQueued(id placement.WorkloadID, bind int) bool {
+	queue, ok := e.Actions.(allocator.ReplyQueue)
+	return ok && queue.ReplyQueued(id, bind)
+}
+
 func (e *engineHost) Wake(at placement.Millis) { e.host.wakeup.requestTick(at) }
--- a/internal/frontend/native/engineactions.go
+++ b/internal/frontend/native/engineactions.go
@@ -30,6 +30,16 @@
 	a.binder.stop(w)
 }
 
+// ReplyQueued implements allocator.ReplyQueue.
+func (a engineActions) ReplyQueued(id placement.WorkloadID, bind int) bool {
+	w, exists := a.workloads.get(id)
+	if !exists || w.lastBind() != bind {
+		return false
+	}
+	n, listed := a.nodes.get(w.lastNode())
+	return listed && n.replyQueued(a.network)
+}
+
 // CheckHealth implements allocator.Actions.
 func (a engineActions) CheckHealth(node placement.NodeID) { a.healthChecks.check(node) }
 
--- a/internal/frontend/native/node.go
+++ b/internal/frontend/native/node.go
@@ -61,6 +61,11 @@
 // connected reports whether the node has sent its hello, so that frames may be sent to it.
 func (n *node) connected() bool { return n.session.state == sessionConnected }
 
+// replyQueued reports whether frames of the node were received and not handled yet.
+func (n *node) replyQueued(network transport.FrameNetwork) bool {
+	return n.connected() && transport.Queued(network, n.session.conn)
+}
+
 // state is the node's state for placement. A node that reports that it is draining counts as draining even while the
 // discovery service lists it as ready, since the node list lags behind. A report of the node or a restart clears
 // the state.
--- a/internal/frontend/platform/actions.go
+++ b/internal/frontend/platform/actions.go
@@ -37,6 +37,12 @@
 // service.
 func (a engineActions) SubscribeNodes() {}
 
+// ReplyQueued implements allocator.ReplyQueue.
+func (a engineActions) ReplyQueued(id placement.WorkloadID, bind int) bool {
+	w := a.workloads.get(id)
+	return w != nil && w.bind.number == bind && w.bind.conn != nil && a.nodeConns.replyQueued(w.bind.conn)
+}
+
 // Answer implements allocator.Actions: it sends a client the final answer to its request.
 func (a engineActions) Answer(id placement.WorkloadID, verdict allocator.Verdict, _ placement.NodeID) {
 	a.requests.answer(a.workloads.get(id), verdict)
--- a/internal/frontend/platform/fakenetwork_test.go
+++ b/internal/frontend/platform/fakenetwork_test.go
@@ -15,6 +15,7 @@
 	closed       map[transport.ConnID]bool // closed by the frontend
 	closedByPeer map[transport.ConnID]bool // closed by the peer, not yet handled by the frontend
 	receiving    map[transport.ConnID]bool // a part of a message has arrived
+	queued       map[transport.ConnID]bool // messages were received and not passed to the frontend
 	wakeups      []placement.Millis        // the last requested wake-up
 }
 
@@ -25,6 +26,7 @@
 		closed:       map[transport.ConnID]bool{},
 		closedByPeer: map[transport.ConnID]bool{},
 		receiving:    map[transport.ConnID]bool{},
+		queued:       map[transport.ConnID]bool{},
 	}
 }
 
@@ -44,6 +46,8 @@
 
 func (f *fakeNetwork) Receiving(c transport.ConnID) bool { return f.receiving[c] }
 
+func (f *fakeNetwork) Queued(c transport.ConnID) bool { return f.queued[c] }
+
 func (f *fakeNetwork) WakeAt(at placement.Millis) { f.wakeups = append(f.wakeups[:0], at) }
 
 func (f *fakeNetwork) Now() placement.Millis { return f.now }
--- a/internal/frontend/platform/nodeconns.go
+++ b/internal/frontend/platform/nodeconns.go
@@ -68,6 +68,12 @@
 // get returns the connection with the given id, or nil.
 func (nc *nodeConns) get(id transport.ConnID) *nodeConn { return nc.conns[id] }
 
+// replyQueued reports whether a message of a node's connection may have been received and not been handled yet: it is
+// queued, or the process was stopped and has not read it.
+func (nc *nodeConns) replyQueued(c *nodeConn) bool {
+	return transport.Queued(nc.net, c.id) || nc.host.RecentStall() > 0
+}
+
 // await calls waiter.connected once a connection to the node is open, or waiter.unreachable if the node cannot be
 // dialed, its dial fails or it is removed. If a connection is open or the node cannot be dialed, await calls the method
 // before it returns. A nil n cannot be dialed.
--- a/internal/transport/connection.go
+++ b/internal/transport/connection.go
@@ -49,6 +49,7 @@
 type sharedState struct {
 	ended       atomic.Bool           // socket closed by the event loop; the worker may not have handled eventClosed yet
 	closeReason atomic.Pointer[error] // reason recorded by setCloseReason; nil if none
+	queued      atomic.Int64          // messages received and not handled yet
 }
 
 // open changes the state to stateOpen. It returns false if the handler has already closed the connection.
--- a/internal/transport/receiving.go
+++ b/internal/transport/receiving.go
@@ -15,9 +15,25 @@
 	return ok && receiver.Receiving(c)
 }
 
+// MessageQueue is implemented by networks that queue received messages for their handler.
+type MessageQueue interface {
+	// Queued reports whether messages of a connection were received and not passed to the handler yet.
+	Queued(c ConnID) bool
+}
+
+// Queued reports whether messages of a connection of the network were received and not passed to its handler yet, so
+// that the handler's own work has delayed them. It is false on networks that do not queue messages, such as simulated
+// ones. The network is a Network or a FrameNetwork.
+func Queued(network any, c ConnID) bool {
+	queue, ok := network.(MessageQueue)
+	return ok && queue.Queued(c)
+}
+
 var (
 	_ PartialReceiver = (*worker)(nil)
 	_ PartialReceiver = frameNetwork{}
+	_ MessageQueue    = (*worker)(nil)
+	_ MessageQueue    = frameNetwork{}
 )
 
 // Receiving implements PartialReceiver.
@@ -28,3 +44,12 @@
 
 // Receiving implements PartialReceiver.
 func (n frameNetwork) Receiving(c ConnID) bool { return Receiving(n.Network, c) }
+
+// Queued implements MessageQueue.
+func (w *worker) Queued(id ConnID) bool {
+	c := w.conns.find(id)
+	return c != nil && c.shared.queued.Load() > 0
+}
+
+// Queued implements MessageQueue.
+func (n frameNetwork) Queued(c ConnID) bool { return Queued(n.Network, c) }
--- a/internal/transport/socketevents.go
+++ b/internal/transport/socketevents.go
@@ -62,6 +62,7 @@
 		}
 	}
 	if len(messages) > 0 {
+		conn.shared.queued.Add(int64(len(messages)))
 		e.worker.queue.pushMessages(messages)
 	}
 	if err != nil {
--- a/internal/transport/worker.go
+++ b/internal/transport/worker.go
@@ -156,6 +156,7 @@
 }
 
 func (w *worker) handleMessage(e *event) {
+	e.conn.shared.queued.Add(-1)
 	if e.conn.state == stateClosed {
 		return
 	}
