Let a health check wait for received messages of its node that are queued

What callers would see: when the allocator is busy for longer than a health check's timeout, a node that has replied counts as one that has not, and loses the next workloads.

Cause: as for binds, the timer of the check runs before a reply that was read earlier and is queued.

Change: Host.ScheduleReplyDeadline delays the failure while messages of the node's connection are queued, for 1 s at most, with both protocols.

Failed before: TestHealthChecker_MessagesQueuedWhenTheCheckIsDue_Waits (the check has failed while a message is queued).

--- a/internal/frontend/healthchecks.go
+++ b/internal/frontend/healthchecks.go
@@ -9,6 +9,9 @@
 	timeout placement.Millis            // time within which a reply must arrive, in ms
 	pending map[uint64]placement.NodeID // checked nodes by check number
 	last    uint64                      // number of the latest check
+
+	// replyQueued reports whether something was received from a node and not handled yet.
+	replyQueued func(node placement.NodeID) bool
 }
 
 // NewHealthChecks returns a tracker without pending checks. Checks fail if no reply arrives within the timeout, in ms.
@@ -17,16 +20,25 @@
 		host:    h,
 		timeout: timeout,
 		pending: map[uint64]placement.NodeID{},
+
+		replyQueued: func(placement.NodeID) bool { return false },
 	}
 }
 
+// SetReplyQueue sets a function that reports whether something was received from a node and not handled yet. While it
+// does, checks of the node do not fail for lack of a reply.
+func (c *HealthChecks) SetReplyQueue(replyQueued func(node placement.NodeID) bool) {
+	c.replyQueued = replyQueued
+}
+
 // Begin registers a new check of the node, sets its timeout and returns its number. It may be called from within the
 // engine's actions.
 func (c *HealthChecks) Begin(node placement.NodeID) uint64 {
 	c.last++
 	check := c.last
 	c.pending[check] = node
-	c.host.Schedule(c.host.Now()+c.timeout, func(now placement.Millis) { c.fail(now, check) })
+	queued := func() bool { return c.Pending(check) && c.replyQueued(node) }
+	c.host.ScheduleReplyDeadline(c.host.Now()+c.timeout, queued, func(now placement.Millis) { c.fail(now, check) })
 	return check
 }
 
--- a/internal/frontend/healthchecks_test.go
+++ b/internal/frontend/healthchecks_test.go
@@ -86,3 +86,39 @@
 	assert.Equal(t, []checkResult{{6, false}, {7, false}}, module.results)
 	assert.True(t, checks.Pending(first))
 }
+
+// Guards against a check that fails although its reply was received and is queued. The wait for the queue is limited.
+func TestHealthChecks_MessagesQueued_FailsOnceTheyAreHandled(t *testing.T) {
+	const timeoutAt = attachedAt + checkTimeout
+	for name, test := range map[string]struct {
+		queuedUntil placement.Millis
+		want        placement.Millis // time of the failure
+	}{
+		"nothing queued":      {queuedUntil: 0, want: timeoutAt},
+		"queued for a while":  {queuedUntil: timeoutAt + 100, want: timeoutAt + 100},
+		"queued for too long": {queuedUntil: timeoutAt + 9999, want: timeoutAt + maxQueuedReplyWait},
+	} {
+		t.Run(name, func(t *testing.T) {
+			checks, host, module := newTestChecks(t)
+			checks.SetReplyQueue(func(placement.NodeID) bool { return host.Now() < test.queuedUntil })
+			checks.Begin(5)
+			for now := placement.Millis(attachedAt); now < test.want; now++ {
+				host.Wake(now)
+			}
+			assert.Empty(t, module.results)
+			host.Wake(test.want)
+			host.Wake(test.want + queuedReplyInterval)
+			assert.Equal(t, []checkResult{{5, false}}, module.results)
+		})
+	}
+}
+
+func TestHealthChecks_QueuedReplyHandledAfterTheTimeout_Passes(t *testing.T) {
+	checks, host, module := newTestChecks(t)
+	checks.SetReplyQueue(func(placement.NodeID) bool { return true })
+	check := checks.Begin(5)
+	host.Wake(attachedAt + checkTimeout)
+	assert.True(t, checks.Complete(attachedAt+checkTimeout+1, check, 5, nil))
+	host.Wake(attachedAt + checkTimeout + 2*maxQueuedReplyWait)
+	assert.Equal(t, []checkResult{{5, true}}, module.results)
+}
--- a/internal/frontend/host.go
+++ b/internal/frontend/host.go
@@ -6,6 +6,13 @@
 	"grebeglade/placement"
 )
 
+const (
+	// maxQueuedReplyWait, in ms, is the longest delay of a reply's deadline. A full event queue is handled in less.
+	maxQueuedReplyWait = placement.Millis(1000)
+	// queuedReplyInterval, in ms, is the time between two checks whether a reply is still queued.
+	queuedReplyInterval = placement.Millis(5)
+)
+
 // Config holds the parameters of a Host.
 type Config struct {
 	Settings placement.Settings
@@ -138,6 +145,28 @@
 	})
 }
 
+// ScheduleReplyDeadline sets a timer for the reply of a peer: Wake runs call once the given time has come. While queued
+// reports that something was received that may be the reply and was not handled yet, the call waits, for
+// maxQueuedReplyWait at most.
+func (h *Host) ScheduleReplyDeadline(at placement.Millis, queued func() bool, call func(now placement.Millis)) {
+	h.Schedule(at, func(now placement.Millis) {
+		h.awaitQueuedReply(now, now+maxQueuedReplyWait, queued, call)
+	})
+}
+
+// awaitQueuedReply runs call once queued is false, but not after latest.
+func (h *Host) awaitQueuedReply(
+	now, latest placement.Millis, queued func() bool, call func(now placement.Millis),
+) {
+	if now >= latest || !queued() {
+		call(now)
+		return
+	}
+	h.Schedule(min(now+queuedReplyInterval, latest), func(now placement.Millis) {
+		h.awaitQueuedReply(now, latest, queued, call)
+	})
+}
+
 // DeferredCalls returns the number of deferred calls that have not run.
 func (h *Host) DeferredCalls() int { return len(h.deferred) }
 
--- a/internal/frontend/native/nodehealth.go
+++ b/internal/frontend/native/nodehealth.go
@@ -18,10 +18,15 @@
 }
 
 func newHealthChecker(env *environment, nodes *nodeTable) *healthChecker {
+	checks := frontend.NewHealthChecks(env.host, healthCheckTimeout)
+	checks.SetReplyQueue(func(id placement.NodeID) bool {
+		n, listed := nodes.get(id)
+		return listed && n.replyQueued(env.network)
+	})
 	return &healthChecker{
 		environment: env,
 		nodes:       nodes,
-		checks:      frontend.NewHealthChecks(env.host, healthCheckTimeout),
+		checks:      checks,
 	}
 }
 
--- a/internal/frontend/platform/nodehealth.go
+++ b/internal/frontend/platform/nodehealth.go
@@ -31,6 +31,12 @@
 	return h.checks.Complete(now, uint64(reply.Tag), n.id, reply.Load)
 }
 
+// replyQueued reports whether a reply of a node may have been received and not been handled yet.
+func (h *healthChecker) replyQueued(id placement.NodeID) bool {
+	n := h.nodes.get(id)
+	return n != nil && n.conn != nil && h.conns.replyQueued(n.conn)
+}
+
 // connected implements connWaiter: it sends the check, unless the check has already failed.
 func (p *pendingCheck) connected(c *nodeConn) {
 	h := p.checker
--- a/internal/frontend/platform/nodehealth_test.go
+++ b/internal/frontend/platform/nodehealth_test.go
@@ -4,6 +4,7 @@
 	"testing"
 
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
 
 	"grebeglade/internal/frontend/platform/codec"
 )
@@ -40,3 +41,28 @@
 	harness.openConn(dialed)
 	assert.Empty(t, harness.network.sent[dialed], "the check has already failed")
 }
+
+// Guards against a health check that fails although messages of its node were received and are queued, and against one
+// that waits for others.
+func TestHealthChecker_MessagesQueuedWhenTheCheckIsDue_Waits(t *testing.T) {
+	for name, test := range map[string]struct {
+		queued      bool
+		wantPending bool
+	}{
+		"messages queued": {queued: true, wantPending: true},
+		"nothing queued":  {},
+	} {
+		t.Run(name, func(t *testing.T) {
+			harness := newHarness(t)
+			const check = 1 // number of the first check
+			harness.host.Handle(harness.now, func() {
+				harness.healthChecks.check(harness.nodes.byName[nodeName].id)
+			})
+			harness.keepDiscoveryAlive(endGrace - 50)
+			require.True(t, harness.healthChecks.checks.Pending(check))
+			harness.network.queued[harness.nodeConn] = test.queued
+			harness.advance(100)
+			assert.Equal(t, test.wantPending, harness.healthChecks.checks.Pending(check))
+		})
+	}
+}
--- a/internal/frontend/platform/wiring.go
+++ b/internal/frontend/platform/wiring.go
@@ -53,6 +53,7 @@
 		conns:       f.nodeConns,
 		checks:      frontend.NewHealthChecks(env.host, endGrace),
 	}
+	f.healthChecks.checks.SetReplyQueue(f.healthChecks.replyQueued)
 	f.binder = &binder{
 		environment: env,
 		workloads:   f.workloads,
