Limit the time of a frame that has begun in the project's own protocol too

What callers would see: with grebeglade serve, a peer that stops in the middle of a frame after its hello stays connected without end, with up to 1 MiB of memory on each of 4,096 connections; a node or discovery service that does so is not replaced.

Cause: Limits.MessageTimeout was zero in DefaultLimits and in the daemon's limits, which meant no limit.

Change: zero means 3 s, counted by progress as on the platform.

Failed before: TestLoop_DefaultLimits_StalledFrameClosesItsConnection (still connected after 20 s).

--- a/internal/transport/limits.go
+++ b/internal/transport/limits.go
@@ -26,7 +26,7 @@
 	MaxQueuedEvents int
 
 	// MessageTimeout is the time in milliseconds in which a peer that has begun a message must complete it or send
-	// another progressSize bytes of it; zero means no limit. A message whose bytes keep arriving at that rate may take any
+	// another progressSize bytes of it; zero means defaultMessageTimeout. A message whose bytes keep arriving at that rate may take any
 	// time, with pauses of up to maxProgressTimeouts times the limit. It guards against peers that stop in the middle of a
 	// message, or send it byte by byte, and stay connected. A low value disconnects peers on slow networks.
 	MessageTimeout placement.Millis
@@ -45,6 +45,9 @@
 	// defaultSlowPeerTimeout, in ms, is used when Limits.SlowPeerTimeout is zero. It is longer than the pauses of a peer
 	// that reads: lost packets, a short partition, a stalled process.
 	defaultSlowPeerTimeout = placement.Millis(3000)
+	// defaultMessageTimeout, in ms, is used when Limits.MessageTimeout is zero. It is as long as defaultSlowPeerTimeout,
+	// for the same pauses.
+	defaultMessageTimeout = placement.Millis(3000)
 	// totalWriteBufferFactor gives the default of Limits.MaxTotalWriteBuffer, in multiples of MaxWriteBuffer.
 	totalWriteBufferFactor = 16
 )
@@ -57,6 +60,9 @@
 	if l.SlowPeerTimeout == 0 {
 		l.SlowPeerTimeout = defaultSlowPeerTimeout
 	}
+	if l.MessageTimeout == 0 {
+		l.MessageTimeout = defaultMessageTimeout
+	}
 	if l.MaxTotalWriteBuffer == 0 {
 		l.MaxTotalWriteBuffer = totalWriteBufferFactor * l.MaxWriteBuffer
 	}
--- a/internal/transport/limits_test.go
+++ b/internal/transport/limits_test.go
@@ -121,3 +121,14 @@
 	require.NoError(t, first.Close())
 	assertSampleAnswer(t, third)
 }
+
+// Guards against limits without a message timeout: peers of the project's own protocol could hold any number of
+// connections, each with up to a frame of memory, by stopping in the middle of a frame.
+func TestLoop_DefaultLimits_StalledFrameClosesItsConnection(t *testing.T) {
+	t.Parallel()
+	_, echo, addr := startEcho(t, DefaultLimits)
+	stalled := dial(t, addr)
+	_, err := stalled.Write([]byte{0, 0, 1})
+	require.NoError(t, err)
+	require.ErrorIs(t, echo.closeReasons(t, 1)[0], ErrMessageTimeout)
+}
--- a/internal/transport/socketevents.go
+++ b/internal/transport/socketevents.go
@@ -70,10 +70,8 @@
 		return gnet.Close
 	}
 	arrived := conn.inbound.arrived(len(unread), used)
-	if e.worker.limits.MessageTimeout > 0 {
-		incomplete := used < len(unread) || assembling(conn.codec)
-		conn.watchMessage(e.worker.loop.Now(), arrived, len(messages) > 0, incomplete)
-	}
+	incomplete := used < len(unread) || assembling(conn.codec)
+	conn.watchMessage(e.worker.loop.Now(), arrived, len(messages) > 0, incomplete)
 	return gnet.None
 }
 
