Let a hello that is on its way arrive before its time limit strikes

What callers would see: with grebeglade serve, a node whose hello takes over 250 ms from the dial (many running workloads, a slow network, a busy allocator) is disconnected and dialed again without end; clients and the discovery service have 5 s.

Cause: the timers of the hello counted whole frames that the frontend had handled.

Change: while a part of a frame has arrived, or frames are queued, the timer waits; the transport ends a connection whose bytes stop.

Failed before: TestHello_ArrivesSlowly_ConnectionKept and TestHello_Queued_ConnectionKept, each for client, node and discovery service.

--- a/internal/frontend/native/acceptor.go
+++ b/internal/frontend/native/acceptor.go
@@ -21,7 +21,7 @@
 // opened handles an accepted connection. It is refused if no hello is received within helloTimeout.
 func (a *acceptor) opened(now placement.Millis, id transport.ConnID) {
 	a.connections.add(id, &connection{})
-	a.host.Schedule(now+helloTimeout, func(placement.Millis) {
+	a.scheduleHelloDeadline(now+helloTimeout, id, func(placement.Millis) {
 		if a.connections.awaitsHello(id) {
 			a.connections.refuse(id, errHelloTimeout)
 		}
--- a/internal/frontend/native/connections.go
+++ b/internal/frontend/native/connections.go
@@ -9,10 +9,13 @@
 	pb "grebeglade/proto/grebeglade/v1"
 )
 
-// helloTimeout is the time limit, in ms, for the peer's hello after accepting a connection or dialing the discovery
-// service.
+// helloTimeout is the time limit, in ms, for the beginning of the peer's hello after accepting a connection or dialing
+// the discovery service.
 const helloTimeout = placement.Millis(5e3)
 
+// helloCheckInterval, in ms, is the time between two checks of a hello that is late and on its way.
+const helloCheckInterval = placement.Millis(20)
+
 // reconnectBackoff is the delay before the next dial to a node or to the discovery service. A longer Max would
 // delay the use of a node that is reachable again.
 var reconnectBackoff = frontend.Backoff{Initial: 100, Max: 10e3}
@@ -90,6 +93,21 @@
 	return peer.client.name
 }
 
+// scheduleHelloDeadline sets a timer for the hello of a connection: call runs once the given time has come and nothing
+// of the peer is on its way to its handler. A part of a frame counts, since the transport ends the connection if the
+// rest does not keep arriving, and so do frames that are queued.
+func (e *environment) scheduleHelloDeadline(
+	at placement.Millis, conn transport.ConnID, call func(now placement.Millis),
+) {
+	e.host.Schedule(at, func(now placement.Millis) {
+		if transport.Receiving(e.network, conn) || transport.Queued(e.network, conn) {
+			e.scheduleHelloDeadline(now+helloCheckInterval, conn, call)
+			return
+		}
+		call(now)
+	})
+}
+
 // awaitsHello reports whether a connection was accepted, is still open, and its peer has not sent its hello.
 func (t *connections) awaitsHello(id transport.ConnID) bool {
 	peer, open := t.get(id)
--- a/internal/frontend/native/discovery.go
+++ b/internal/frontend/native/discovery.go
@@ -37,7 +37,7 @@
 	conn := d.network.Dial(d.address)
 	d.state = sessionConnecting
 	d.conn = conn
-	d.host.Schedule(now+helloTimeout, func(placement.Millis) {
+	d.scheduleHelloDeadline(now+helloTimeout, conn, func(placement.Millis) {
 		if d.conn == conn && d.state == sessionConnecting {
 			d.connections.disconnect(conn, errHelloTimeout)
 		}
--- a/internal/frontend/native/fakenetwork_test.go
+++ b/internal/frontend/native/fakenetwork_test.go
@@ -15,6 +15,9 @@
 	sent   map[transport.ConnID][]*pb.Frame
 	closed map[transport.ConnID]bool
 	wakeAt placement.Millis
+
+	receiving map[transport.ConnID]bool // a part of a frame has arrived
+	queued    map[transport.ConnID]bool // frames were received and not passed to the frontend
 }
 
 var _ transport.FrameNetwork = (*fakeNetwork)(nil)
@@ -24,6 +27,9 @@
 		dialed: map[string]transport.ConnID{},
 		sent:   map[transport.ConnID][]*pb.Frame{},
 		closed: map[transport.ConnID]bool{},
+
+		receiving: map[transport.ConnID]bool{},
+		queued:    map[transport.ConnID]bool{},
 	}
 }
 
@@ -40,6 +46,9 @@
 func (n *fakeNetwork) WakeAt(at placement.Millis)  { n.wakeAt = at }
 func (n *fakeNetwork) Now() placement.Millis       { return n.now }
 
+func (n *fakeNetwork) Receiving(conn transport.ConnID) bool { return n.receiving[conn] }
+func (n *fakeNetwork) Queued(conn transport.ConnID) bool    { return n.queued[conn] }
+
 // takeSent returns what was sent on a connection since the last call.
 func (n *fakeNetwork) takeSent(conn transport.ConnID) []*pb.Frame {
 	sent := n.sent[conn]
--- /dev/null
+++ b/internal/frontend/native/hello_test.go
@@ -0,0 +1,70 @@
+package native
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+
+	"grebeglade/internal/transport"
+	"grebeglade/placement"
+	pb "grebeglade/proto/grebeglade/v1"
+)
+
+// helloPeers are the peers that have to send a hello: begin connects one and returns its connection, and timeout is the
+// time limit of its hello.
+var helloPeers = map[string]struct {
+	begin   func(harness *testHarness) transport.ConnID
+	timeout placement.Millis
+}{
+	"client": {
+		begin: func(harness *testHarness) transport.ConnID {
+			harness.openConn(otherConn)
+			return otherConn
+		},
+		timeout: helloTimeout,
+	},
+	"node": {
+		begin: func(harness *testHarness) transport.ConnID {
+			harness.listNode(1, pb.NodeEntry_READY, nodeIncarnation, longRunning)
+			return harness.network.dialed[nodeAddress(1)]
+		},
+		timeout: connectTimeout,
+	},
+	"discovery service": {
+		begin: func(harness *testHarness) transport.ConnID {
+			harness.reconnectDiscovery()
+			return harness.discoveryConn
+		},
+		timeout: helloTimeout,
+	},
+}
+
+// Guards against time limits that count whole frames: a node whose hello lists many workloads, or any peer on a slow
+// network, was disconnected while its hello arrived, and on each new connection again.
+func TestHello_ArrivesSlowly_ConnectionKept(t *testing.T) {
+	for name, peer := range helloPeers {
+		t.Run(name, func(t *testing.T) {
+			harness := newHarness(t)
+			conn := peer.begin(harness)
+			harness.network.receiving[conn] = true
+			harness.advance(3 * peer.timeout)
+			assert.False(t, harness.network.closed[conn])
+			harness.network.receiving[conn] = false
+			harness.advance(helloCheckInterval)
+			assert.True(t, harness.network.closed[conn], "its connection ends if nothing more arrives")
+		})
+	}
+}
+
+// Guards against a hello that counts as missing because this process has not handled it yet.
+func TestHello_Queued_ConnectionKept(t *testing.T) {
+	for name, peer := range helloPeers {
+		t.Run(name, func(t *testing.T) {
+			harness := newHarness(t)
+			conn := peer.begin(harness)
+			harness.network.queued[conn] = true
+			harness.advance(peer.timeout + 100)
+			assert.False(t, harness.network.closed[conn])
+		})
+	}
+}
--- a/internal/frontend/native/nodesessions.go
+++ b/internal/frontend/native/nodesessions.go
@@ -7,7 +7,7 @@
 	pb "grebeglade/proto/grebeglade/v1"
 )
 
-// connectTimeout is the time limit, in ms, from the dial to the node's hello.
+// connectTimeout is the time limit, in ms, from the dial to the beginning of the node's hello.
 const connectTimeout = placement.Millis(250)
 
 // Values of Detail in events of the kind NodeConnection.
@@ -40,7 +40,7 @@
 	n.session.conn = conn
 	n.session.dials++
 	s.connections.add(conn, &connection{role: pb.Role_NODE, node: n})
-	s.host.Schedule(now+connectTimeout, func(placement.Millis) {
+	s.scheduleHelloDeadline(now+connectTimeout, conn, func(placement.Millis) {
 		if n.session.conn == conn && n.session.state == sessionConnecting {
 			s.connections.disconnect(conn, errConnectTimeout)
 		}
