Count a queued message as received when a client or the discovery service is due

What callers would see: when the allocator is busy at the end of the time limit for a client's first message (2 s), a client whose request was received and is queued is disconnected without an answer.

Cause: the timer runs before messages that were read earlier and are queued.

Change: queued messages count as a message on its way, for the first message and for the silence of the discovery service.

Failed before: the case 'queued' of TestClientConns_FirstMessageIsOnItsWay_Kept (closed while its message is queued).

--- a/internal/frontend/platform/clients.go
+++ b/internal/frontend/platform/clients.go
@@ -97,12 +97,13 @@
 }
 
 // watchFirstMessage closes a connection whose first message has not begun to arrive at the given time. If a part of the
-// message has arrived, the transport ends the connection when its bytes do not keep arriving.
+// message has arrived, the transport ends the connection when its bytes do not keep arriving. A message that is queued
+// has arrived.
 func (cs *clientConns) watchFirstMessage(at placement.Millis, c *clientConn) {
 	cs.host.ScheduleDeadline(at, func(now placement.Millis) {
 		switch {
 		case cs.conns[c.id] != c || c.active:
-		case transport.Receiving(cs.net, c.id):
+		case cs.arriving(c.id):
 			cs.watchFirstMessage(now+messageTimeout, c)
 		default:
 			cs.counters.Invalid++
--- a/internal/frontend/platform/clients_test.go
+++ b/internal/frontend/platform/clients_test.go
@@ -193,3 +193,21 @@
 	harness.advance(1000)
 	assert.False(t, harness.network.closed[harness.clientConn])
 }
+
+// Guards both sides of the time limit for the first message: one that is on its way or queued has begun to arrive.
+func TestClientConns_FirstMessageIsOnItsWay_Kept(t *testing.T) {
+	for name, arriving := range map[string]func(*fakeNetwork) map[transport.ConnID]bool{
+		"a part has arrived": func(n *fakeNetwork) map[transport.ConnID]bool { return n.receiving },
+		"queued":             func(n *fakeNetwork) map[transport.ConnID]bool { return n.queued },
+	} {
+		t.Run(name, func(t *testing.T) {
+			harness := newHarness(t)
+			arriving(harness.network)[harness.clientConn] = true
+			harness.advance(3 * firstMessageTimeout)
+			assert.False(t, harness.network.closed[harness.clientConn])
+			arriving(harness.network)[harness.clientConn] = false
+			harness.advance(messageTimeout + 100)
+			assert.True(t, harness.network.closed[harness.clientConn])
+		})
+	}
+}
--- a/internal/frontend/platform/frontend.go
+++ b/internal/frontend/platform/frontend.go
@@ -70,6 +70,12 @@
 	counters *Counters
 }
 
+// arriving reports whether something was received on a connection and not handled yet: a part of a message, or messages
+// that are queued.
+func (e *environment) arriving(c transport.ConnID) bool {
+	return transport.Receiving(e.net, c) || transport.Queued(e.net, c)
+}
+
 var (
 	_ transport.Handler      = (*Frontend)(nil)
 	_ transport.InputHandler = (*Frontend)(nil)
--- a/internal/frontend/platform/subscription.go
+++ b/internal/frontend/platform/subscription.go
@@ -113,7 +113,7 @@
 		if !s.owns(conn) {
 			return
 		}
-		if transport.Receiving(s.net, conn) {
+		if s.arriving(conn) {
 			s.lastReceived = now
 		}
 		if now-s.lastReceived < silenceTimeout {
--- a/internal/transport/limits.go
+++ b/internal/transport/limits.go
@@ -26,9 +26,10 @@
 	MaxQueuedEvents int
 
 	// MessageTimeout is the time in milliseconds in which a peer that has begun a message must complete it or send
-	// another progressSize bytes of it; zero means defaultMessageTimeout. A message whose bytes keep arriving at that rate may take any
-	// time, with pauses of up to maxProgressTimeouts times the limit. It guards against peers that stop in the middle of a
-	// message, or send it byte by byte, and stay connected. A low value disconnects peers on slow networks.
+	// another progressSize bytes of it; zero means defaultMessageTimeout. A message whose bytes keep arriving at that rate
+	// may take any time, with pauses of up to maxProgressTimeouts times the limit. It guards against peers that stop in
+	// the middle of a message, or send it byte by byte, and stay connected. A low value disconnects peers on slow
+	// networks.
 	MessageTimeout placement.Millis
 }
 
