Evict connections of which nothing was received before those with a message on its way

What callers would see: while others open silent connections by the hundred, a client that connects and sends its request is disconnected without an answer.

Cause: clientConn.evictedBefore counts handled messages only; a first message that is queued behind the opening of later connections did not protect its connection, which is the oldest.

Change: bytes that were received and not handled take part in the order.

--- a/internal/frontend/platform/clients.go
+++ b/internal/frontend/platform/clients.go
@@ -38,6 +38,7 @@
 type clientConn struct {
 	id           transport.ConnID
 	active       bool                               // a message was received
+	arriving     bool                               // bytes were received and not handled, when evictConnection ran last
 	placed       int                                // workloads placed or adopted for requests on this connection
 	confirmed    int                                // those of placed that a node has confirmed or reported on
 	lastReceived placement.Millis                   // time of the last message, or of opening if there is none
@@ -118,6 +119,7 @@
 func (cs *clientConns) evictConnection(now placement.Millis, latest *clientConn) {
 	var first *clientConn
 	for _, c := range cs.conns {
+		c.arriving = cs.arriving(c.id)
 		if c != latest && len(c.unanswered) == 0 && (first == nil || c.evictedBefore(first)) {
 			first = c
 		}
@@ -129,8 +131,9 @@
 }
 
 // evictedBefore defines the eviction order: connections without any message come first, then those with fewer confirmed
-// workloads, then those with fewer placed ones, then those with an older last message. Confirmed workloads have
-// precedence because a client can hand over any number of workloads that do not exist.
+// workloads, then those with fewer placed ones, then those on which no message is on its way, then those with an older
+// last message. Confirmed workloads have precedence because a client can hand over any number of workloads that do not
+// exist.
 func (c *clientConn) evictedBefore(other *clientConn) bool {
 	switch {
 	case c.active != other.active:
@@ -139,6 +142,8 @@
 		return c.confirmed < other.confirmed
 	case c.placed != other.placed:
 		return c.placed < other.placed
+	case c.arriving != other.arriving:
+		return other.arriving
 	case c.lastReceived != other.lastReceived:
 		return c.lastReceived < other.lastReceived
 	}
