Test that a node's reply may arrive slowly

The message timeout cut off nodes as it did the discovery service: a reply of 13 KB at 5 KB a second ended its bind, and all others on the connection, with an unknown result, and the client was told that its workload may have run.

--- a/internal/frontend/platform/sockets_test.go
+++ b/internal/frontend/platform/sockets_test.go
@@ -158,16 +158,22 @@
 
 // stubNode is a node on a socket. It confirms each offer after a delay.
 type stubNode struct {
-	listener net.Listener
-	delay    atomic.Int64 // nanoseconds from the offer to its confirmation
-	offers   atomic.Int64 // offers so far
+	listener    net.Listener
+	delay       atomic.Int64 // nanoseconds from the offer to its confirmation
+	offers      atomic.Int64 // offers so far
+	description string       // description in confirmations
+	pieceSize   int          // bytes of a confirmation that are written each writeInterval
 }
 
 func startNode(t *testing.T) *stubNode {
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
-	n := &stubNode{listener: ln}
+	n := &stubNode{
+		listener:    ln,
+		description: "runs",
+		pieceSize:   codec.MaxMessageSize,
+	}
 	t.Cleanup(func() { _ = ln.Close() }) // the end of the test ignores what is not accepted
 	go n.accept()
 	return n
@@ -210,16 +216,23 @@
 	switch message := message.(type) {
 	case *codec.Offer:
 		n.offers.Add(1)
-		time.AfterFunc(time.Duration(n.delay.Load()), func() { send(conn, codec.NewConfirmation(message.Tag, "runs")) })
+		time.AfterFunc(time.Duration(n.delay.Load()), func() { n.send(conn, codec.NewConfirmation(message.Tag, n.description)) })
 	case *codec.HealthCheck:
-		time.AfterFunc(time.Duration(n.delay.Load()), func() { send(conn, codec.NewHealthReply(message.Tag, true)) })
+		time.AfterFunc(time.Duration(n.delay.Load()), func() { n.send(conn, codec.NewHealthReply(message.Tag, true)) })
 	}
 }
 
-// send writes a message of a node. A connection that has ended is ignored.
-func send(conn net.Conn, message any) {
-	if b, err := (codec.NodeCodec{}).Append(nil, message); err == nil {
-		_, _ = conn.Write(b)
+// send writes a message in pieces. A connection that has ended is ignored.
+func (n *stubNode) send(conn net.Conn, message any) {
+	encoded, err := codec.NodeCodec{}.Append(nil, message)
+	if err != nil {
+		return
+	}
+	for piece := range slices.Chunk(encoded, n.pieceSize) {
+		if _, err := conn.Write(piece); err != nil {
+			return
+		}
+		time.Sleep(writeInterval)
 	}
 }
 
