Keep an idle connection to a node while a message arrives on it

What callers would see: a node reports the end of a workload on a connection that was idle; the allocator closes the connection before it has handled the report, and the client is told only after the node was dialed again.

Cause: nodeConns.closeIdle looks at the time of the last message that was handled.

Change: a connection with a message on its way, in part or queued, is not closed as idle.

Failed before: TestNodeConns_IdleWhileAMessageIsOnItsWay_Kept, both cases.

--- a/internal/frontend/platform/nodeconnuse.go
+++ b/internal/frontend/platform/nodeconnuse.go
@@ -97,10 +97,10 @@
 }
 
 // closeIdle closes idle connections before their nodes do, in the order of their ids. Connections with an offer without
-// a reply stay open.
+// a reply, or with a message on its way, stay open.
 func (nc *nodeConns) closeIdle(now placement.Millis) {
 	for _, c := range frontend.SortedValues(nc.conns) {
-		if c.isOpen() && len(c.offers) == 0 && nc.idle(now, c) {
+		if c.isOpen() && len(c.offers) == 0 && nc.idle(now, c) && !nc.arriving(c.id) {
 			nc.disconnect(now, c, errIdle)
 		}
 	}
--- a/internal/frontend/platform/nodeconnuse_test.go
+++ b/internal/frontend/platform/nodeconnuse_test.go
@@ -7,6 +7,7 @@
 	"github.com/stretchr/testify/require"
 
 	"grebeglade/internal/frontend/platform/codec"
+	"grebeglade/internal/transport"
 )
 
 // The frontend closes a connection shortly before the node's idle timeout. An offer that is sent while the node closes
@@ -127,3 +128,24 @@
 	harness.receive(offered.id, confirmation(7))
 	assert.True(t, harness.network.closed[offered.id])
 }
+
+// Guards against closing a connection while the end of a workload arrives on it, which the client must be told of.
+func TestNodeConns_IdleWhileAMessageIsOnItsWay_Kept(t *testing.T) {
+	for name, arriving := range map[string]func(*fakeNetwork) map[transport.ConnID]bool{
+		"a part has arrived": func(n *fakeNetwork) map[transport.ConnID]bool { return n.receiving },
+		"queued":             func(n *fakeNetwork) map[transport.ConnID]bool { return n.queued },
+	} {
+		t.Run(name, func(t *testing.T) {
+			harness := newIdleHarness(t)
+			arriving(harness.network)[harness.nodeConn] = true
+			harness.nodeConns.closeIdle(harness.now)
+			require.False(t, harness.network.closed[harness.nodeConn])
+			harness.receive(harness.nodeConn, codec.NewTermination(6, codec.CauseNormal))
+			assert.Contains(t, harness.sentAbout(harness.clientConn, 6), aTermination(codec.CauseNormal))
+			arriving(harness.network)[harness.nodeConn] = false
+			harness.now += 5000
+			harness.nodeConns.closeIdle(harness.now)
+			assert.True(t, harness.network.closed[harness.nodeConn])
+		})
+	}
+}
