Split notifications from client connections, and share the search for the first to evict

The loops that look for the first connection in eviction order, of clients and of nodes, are one function. The longest wait for a queued reply is one constant of the placement module in place of two in two packages, and Step has one field less. Tests of messages on their way share their table; the two tests of hellos are one that checks more.

--- a/internal/allocator/bind.go
+++ b/internal/allocator/bind.go
@@ -104,12 +104,12 @@
 		return false
 	}
 	if entry.queuedReplyUntil == 0 {
-		entry.queuedReplyUntil = min(now+entry.step.QueuedReplyTime, entry.step.AnswerBy)
+		entry.queuedReplyUntil = min(now+placement.MaxQueuedReplyTime, entry.step.AnswerBy)
 	}
 	if now >= entry.queuedReplyUntil {
 		return false
 	}
-	e.timers.setStep(now, entry, min(now+queuedReplyInterval, entry.queuedReplyUntil))
+	e.timers.setStep(now, entry, min(now+QueuedReplyInterval, entry.queuedReplyUntil))
 	return true
 }
 
--- a/internal/allocator/queuedreply_test.go
+++ b/internal/allocator/queuedreply_test.go
@@ -46,7 +46,7 @@
 			engine.Schedule(0, newWorkload(7, test.group))
 			fake.take()
 			stoppedAt := host.tickUntil(engine, 8000)
-			assert.InDelta(t, float64(test.want), float64(stoppedAt), float64(queuedReplyInterval))
+			assert.InDelta(t, float64(test.want), float64(stoppedAt), float64(QueuedReplyInterval))
 		})
 	}
 }
--- a/internal/allocator/timers.go
+++ b/internal/allocator/timers.go
@@ -14,8 +14,8 @@
 // stays in the queue for a minute at most.
 const MaxTimerDelay = placement.Millis(60e3)
 
-// queuedReplyInterval, in ms, is the time between two checks whether the reply to a bind is still queued.
-const queuedReplyInterval = placement.Millis(5)
+// QueuedReplyInterval is the time, in ms, between two checks whether a reply that is due is still queued.
+const QueuedReplyInterval = placement.Millis(5)
 
 // timerKind selects what happens when a timer fires.
 type timerKind uint8
--- a/internal/frontend/healthchecks_test.go
+++ b/internal/frontend/healthchecks_test.go
@@ -96,7 +96,7 @@
 	}{
 		"nothing queued":      {queuedUntil: 0, want: timeoutAt},
 		"queued for a while":  {queuedUntil: timeoutAt + 100, want: timeoutAt + 100},
-		"queued for too long": {queuedUntil: timeoutAt + 9999, want: timeoutAt + maxQueuedReplyWait},
+		"queued for too long": {queuedUntil: timeoutAt + 9999, want: timeoutAt + placement.MaxQueuedReplyTime},
 	} {
 		t.Run(name, func(t *testing.T) {
 			checks, host, module := newTestChecks(t)
@@ -107,7 +107,7 @@
 			}
 			assert.Empty(t, module.results)
 			host.Wake(test.want)
-			host.Wake(test.want + queuedReplyInterval)
+			host.Wake(test.want + allocator.QueuedReplyInterval)
 			assert.Equal(t, []checkResult{{5, false}}, module.results)
 		})
 	}
@@ -119,6 +119,6 @@
 	check := checks.Begin(5)
 	host.Wake(attachedAt + checkTimeout)
 	assert.True(t, checks.Complete(attachedAt+checkTimeout+1, check, 5, nil))
-	host.Wake(attachedAt + checkTimeout + 2*maxQueuedReplyWait)
+	host.Wake(attachedAt + checkTimeout + 2*placement.MaxQueuedReplyTime)
 	assert.Equal(t, []checkResult{{5, true}}, module.results)
 }
--- a/internal/frontend/host.go
+++ b/internal/frontend/host.go
@@ -6,13 +6,6 @@
 	"grebeglade/placement"
 )
 
-const (
-	// maxQueuedReplyWait, in ms, is the longest delay of a reply's deadline. A full event queue is handled in less.
-	maxQueuedReplyWait = placement.Millis(1000)
-	// queuedReplyInterval, in ms, is the time between two checks whether a reply is still queued.
-	queuedReplyInterval = placement.Millis(5)
-)
-
 // Config holds the parameters of a Host.
 type Config struct {
 	Settings placement.Settings
@@ -147,10 +140,10 @@
 
 // ScheduleReplyDeadline sets a timer for the reply of a peer: Wake runs call once the given time has come. While queued
 // reports that something was received that may be the reply and was not handled yet, the call waits, for
-// maxQueuedReplyWait at most.
+// placement.MaxQueuedReplyTime at most.
 func (h *Host) ScheduleReplyDeadline(at placement.Millis, queued func() bool, call func(now placement.Millis)) {
 	h.Schedule(at, func(now placement.Millis) {
-		h.awaitQueuedReply(now, now+maxQueuedReplyWait, queued, call)
+		h.awaitQueuedReply(now, now+placement.MaxQueuedReplyTime, queued, call)
 	})
 }
 
@@ -162,7 +155,7 @@
 		call(now)
 		return
 	}
-	h.Schedule(min(now+queuedReplyInterval, latest), func(now placement.Millis) {
+	h.Schedule(min(now+allocator.QueuedReplyInterval, latest), func(now placement.Millis) {
 		h.awaitQueuedReply(now, latest, queued, call)
 	})
 }
--- a/internal/frontend/native/hello_test.go
+++ b/internal/frontend/native/hello_test.go
@@ -40,31 +40,24 @@
 }
 
 // Guards against time limits that count whole frames: a node whose hello lists many workloads, or any peer on a slow
-// network, was disconnected while its hello arrived, and on each new connection again.
-func TestHello_ArrivesSlowly_ConnectionKept(t *testing.T) {
-	for name, peer := range helloPeers {
-		t.Run(name, func(t *testing.T) {
-			harness := newHarness(t)
-			conn := peer.begin(harness)
-			harness.network.receiving[conn] = true
-			harness.advance(3 * peer.timeout)
-			assert.False(t, harness.network.closed[conn])
-			harness.network.receiving[conn] = false
-			harness.advance(helloCheckInterval)
-			assert.True(t, harness.network.closed[conn], "its connection ends if nothing more arrives")
-		})
-	}
-}
-
-// Guards against a hello that counts as missing because this process has not handled it yet.
-func TestHello_Queued_ConnectionKept(t *testing.T) {
-	for name, peer := range helloPeers {
-		t.Run(name, func(t *testing.T) {
-			harness := newHarness(t)
-			conn := peer.begin(harness)
-			harness.network.queued[conn] = true
-			harness.advance(peer.timeout + 100)
-			assert.False(t, harness.network.closed[conn])
-		})
+// network, was disconnected while its hello arrived, and on each new connection again. A hello that is queued has
+// arrived, and this process has delayed it.
+func TestHello_OnItsWay_ConnectionKept(t *testing.T) {
+	for state, arriving := range map[string]func(*fakeNetwork) map[transport.ConnID]bool{
+		"a part has arrived": func(n *fakeNetwork) map[transport.ConnID]bool { return n.receiving },
+		"queued":             func(n *fakeNetwork) map[transport.ConnID]bool { return n.queued },
+	} {
+		for name, peer := range helloPeers {
+			t.Run(name+", "+state, func(t *testing.T) {
+				harness := newHarness(t)
+				conn := peer.begin(harness)
+				arriving(harness.network)[conn] = true
+				harness.advance(3 * peer.timeout)
+				assert.False(t, harness.network.closed[conn])
+				arriving(harness.network)[conn] = false
+				harness.advance(helloCheckInterval)
+				assert.True(t, harness.network.closed[conn], "it ends if nothing more arrives")
+			})
+		}
 	}
 }
--- a/internal/frontend/platform/clients.go
+++ b/internal/frontend/platform/clients.go
@@ -3,7 +3,6 @@
 import (
 	"errors"
 
-	"grebeglade/internal/frontend/platform/codec"
 	"grebeglade/internal/transport"
 	"grebeglade/placement"
 )
@@ -19,16 +18,9 @@
 	// firstMessageTimeout, in ms, is how long a connection may stay open before its first message begins to arrive. The
 	// platform expects a reply within 3 s.
 	firstMessageTimeout = placement.Millis(2000)
-	// maxUndelivered is the maximum number of notifications that wait for a client connection.
-	maxUndelivered = 4096
-	// maxUndeliveredUnverified is the number of waiting notifications beyond which none about workloads are queued that
-	// were handed over and may not exist.
-	maxUndeliveredUnverified = maxUndelivered / 2
 	// slowClientLogInterval, in ms, is the minimum time between two warnings about clients that do not read, since clients
 	// could fill the log.
 	slowClientLogInterval = placement.Millis(10e3)
-	// undeliveredTTL, in ms, is how long a notification waits for a client connection before it is dropped.
-	undeliveredTTL = 10 * endGrace
 )
 
 // maxClientConns returns the maximum number of client connections that are kept open.
@@ -64,12 +56,6 @@
 	slowLogged   uint64           // Counters.SlowClients at that warning
 }
 
-// notification is a queued message that waits for a client connection.
-type notification struct {
-	message   codec.Message
-	expiresAt placement.Millis
-}
-
 func newClientConns(env *environment) *clientConns {
 	return &clientConns{
 		environment: env,
@@ -117,14 +103,11 @@
 // requests. If all others have unanswered requests, it closes latest. Eviction guards against clients that open
 // thousands of connections and keep them.
 func (cs *clientConns) evictConnection(now placement.Millis, latest *clientConn) {
-	var first *clientConn
 	for _, c := range cs.conns {
 		c.arriving = cs.arriving(c.id)
-		if c != latest && len(c.unanswered) == 0 && (first == nil || c.evictedBefore(first)) {
-			first = c
-		}
 	}
-	if first == nil {
+	first, found := firstEvicted(cs.conns, func(c *clientConn) bool { return c != latest && len(c.unanswered) == 0 })
+	if !found {
 		first = latest
 	}
 	cs.disconnect(now, first)
@@ -201,71 +184,3 @@
 	delete(cs.conns, c.id)
 	cs.requests.cancelAll(now, c.unanswered)
 }
-
-// ended is the end of a workload that a client is notified of.
-type ended struct {
-	client     transport.ConnID // connection of the request, which may be closed
-	tag        codec.Tag
-	cause      codec.Cause // CauseNone if there was none
-	unverified bool        // the workload was handed over, and its node has not reported on it
-}
-
-// notifyEnd notifies a client that its workload has ended. It sends nothing if the client ended the workload itself.
-func (cs *clientConns) notifyEnd(end ended) {
-	cause := end.cause
-	if cause == codec.CauseNone {
-		cause = codec.CauseReset
-	}
-	if cause == codec.CauseCancelled {
-		return
-	}
-	cs.counters.Released++
-	cs.log.Debug("workload ended", "workload", end.tag, "client", end.client, "cause", uint8(cause))
-	if end.unverified && len(cs.undelivered) >= maxUndeliveredUnverified {
-		return
-	}
-	cs.notify(end.client, codec.NewTermination(end.tag, cause))
-}
-
-// notify sends a message about a workload on the connection of its request. If that is closed, it uses the last one in
-// eviction order of those with placed workloads, which is likely to stay open. If there is none, the message is queued;
-// beyond maxUndelivered, the oldest queued message is dropped.
-func (cs *clientConns) notify(client transport.ConnID, m codec.Message) {
-	if cs.conns[client] != nil {
-		cs.net.Send(client, m)
-		return
-	}
-	if c := cs.mostPlaced(); c != nil {
-		cs.net.Send(c.id, m)
-		return
-	}
-	if len(cs.undelivered) >= maxUndelivered {
-		cs.undelivered = cs.undelivered[1:]
-	}
-	cs.undelivered = append(cs.undelivered, notification{message: m, expiresAt: cs.host.Now() + undeliveredTTL})
-}
-
-// mostPlaced returns the last connection in eviction order among those with placed workloads, or nil.
-func (cs *clientConns) mostPlaced() *clientConn {
-	var last *clientConn
-	for _, c := range cs.conns {
-		if c.placed > 0 && (last == nil || last.evictedBefore(c)) {
-			last = c
-		}
-	}
-	return last
-}
-
-// flushUndelivered sends the queued, unexpired notifications on the given connection and empties the queue. It does
-// nothing if the connection is closed.
-func (cs *clientConns) flushUndelivered(now placement.Millis, c *clientConn) {
-	if len(cs.undelivered) == 0 || cs.conns[c.id] != c {
-		return
-	}
-	for _, n := range cs.undelivered {
-		if now < n.expiresAt {
-			cs.net.Send(c.id, n.message)
-		}
-	}
-	cs.undelivered = nil
-}
--- a/internal/frontend/platform/clients_test.go
+++ b/internal/frontend/platform/clients_test.go
@@ -196,10 +196,7 @@
 
 // Guards both sides of the time limit for the first message: one that is on its way or queued has begun to arrive.
 func TestClientConns_FirstMessageIsOnItsWay_Kept(t *testing.T) {
-	for name, arriving := range map[string]func(*fakeNetwork) map[transport.ConnID]bool{
-		"a part has arrived": func(n *fakeNetwork) map[transport.ConnID]bool { return n.receiving },
-		"queued":             func(n *fakeNetwork) map[transport.ConnID]bool { return n.queued },
-	} {
+	for name, arriving := range onTheirWay {
 		t.Run(name, func(t *testing.T) {
 			harness := newHarness(t)
 			arriving(harness.network)[harness.clientConn] = true
--- a/internal/frontend/platform/fakenetwork_test.go
+++ b/internal/frontend/platform/fakenetwork_test.go
@@ -71,3 +71,9 @@
 	}
 	return n
 }
+
+// onTheirWay has the ways in which a message may be on its way to the frontend, and the connections on which one is.
+var onTheirWay = map[string]func(*fakeNetwork) map[transport.ConnID]bool{
+	"a part has arrived": func(n *fakeNetwork) map[transport.ConnID]bool { return n.receiving },
+	"queued":             func(n *fakeNetwork) map[transport.ConnID]bool { return n.queued },
+}
--- a/internal/frontend/platform/nodeconnuse_test.go
+++ b/internal/frontend/platform/nodeconnuse_test.go
@@ -7,7 +7,6 @@
 	"github.com/stretchr/testify/require"
 
 	"grebeglade/internal/frontend/platform/codec"
-	"grebeglade/internal/transport"
 )
 
 // The frontend closes a connection shortly before the node's idle timeout. An offer that is sent while the node closes
@@ -131,10 +130,7 @@
 
 // Guards against closing a connection while the end of a workload arrives on it, which the client must be told of.
 func TestNodeConns_IdleWhileAMessageIsOnItsWay_Kept(t *testing.T) {
-	for name, arriving := range map[string]func(*fakeNetwork) map[transport.ConnID]bool{
-		"a part has arrived": func(n *fakeNetwork) map[transport.ConnID]bool { return n.receiving },
-		"queued":             func(n *fakeNetwork) map[transport.ConnID]bool { return n.queued },
-	} {
+	for name, arriving := range onTheirWay {
 		t.Run(name, func(t *testing.T) {
 			harness := newIdleHarness(t)
 			arriving(harness.network)[harness.nodeConn] = true
--- a/internal/frontend/platform/nodedial.go
+++ b/internal/frontend/platform/nodedial.go
@@ -71,10 +71,13 @@
 }
 
 // evictConnection closes the first connection in eviction order, to free a file descriptor for successor. It returns
-// false if no connection can be evicted.
+// false if no connection can be evicted. Connections that are being dialed, or have an offer without a reply, are never
+// evicted.
 func (nc *nodeConns) evictConnection(now placement.Millis, successor *node) bool {
-	first := nc.firstEvictable(successor)
-	if first == nil {
+	first, found := firstEvicted(nc.conns, func(c *nodeConn) bool {
+		return c.isOpen() && len(c.offers) == 0 && c != successor.conn
+	})
+	if !found {
 		return false
 	}
 	if first.node == successor {
@@ -88,19 +91,6 @@
 	return true
 }
 
-// firstEvictable returns the first connection in eviction order that may be evicted for successor, or nil. Connections
-// that are being dialed, or have an offer without a reply, are never evicted.
-func (nc *nodeConns) firstEvictable(successor *node) *nodeConn {
-	var first *nodeConn
-	for _, c := range nc.conns {
-		evictable := c.isOpen() && len(c.offers) == 0 && c != successor.conn
-		if evictable && (first == nil || c.evictedBefore(first)) {
-			first = c
-		}
-	}
-	return first
-}
-
 // redialEvicted schedules a dial, after evictedRedialDelay, of a node whose connection is evicted, so that the node can
 // report the ends of its workloads. Until then the node is dialed only to send a message to it.
 func (nc *nodeConns) redialEvicted(now placement.Millis, n *node) {
--- a/internal/frontend/platform/sockets_test.go
+++ b/internal/frontend/platform/sockets_test.go
@@ -211,15 +211,19 @@
 	}
 }
 
-// reply replies to an offer or a health check.
+// reply replies to an offer or a health check after the delay.
 func (n *stubNode) reply(conn net.Conn, message any) {
+	var reply codec.Message
 	switch message := message.(type) {
 	case *codec.Offer:
 		n.offers.Add(1)
-		time.AfterFunc(time.Duration(n.delay.Load()), func() { n.send(conn, codec.NewConfirmation(message.Tag, n.description)) })
+		reply = codec.NewConfirmation(message.Tag, n.description)
 	case *codec.HealthCheck:
-		time.AfterFunc(time.Duration(n.delay.Load()), func() { n.send(conn, codec.NewHealthReply(message.Tag, true)) })
+		reply = codec.NewHealthReply(message.Tag, true)
+	default:
+		return
 	}
+	time.AfterFunc(time.Duration(n.delay.Load()), func() { n.send(conn, reply) })
 }
 
 // send writes a message in pieces. A connection that has ended is ignored.
--- a/placement/constants.go
+++ b/placement/constants.go
@@ -51,9 +51,10 @@
 	// remainingTimeDivisor divides a workload's remaining time to give a third minimum of that timeout. Where it is the
 	// largest of the three, half of the time is left for another bind.
 	remainingTimeDivisor = 2
-	// maxQueuedReplyTime is the maximum time for which a bind that has timed out waits for received messages to be
-	// handled: a full event queue is handled in less.
-	maxQueuedReplyTime = Millis(1000)
+	// MaxQueuedReplyTime is the maximum time for which a bind or a health check that has timed out waits for messages of
+	// its node that were received and are queued: a full event queue is handled in less. A bind waits until Step.AnswerBy
+	// at the latest.
+	MaxQueuedReplyTime = Millis(1000)
 	// answerMargin is the time between the latest final answer and the pending timeout.
 	answerMargin = Millis(20)
 	// emptyNodeListRetryInterval is the time between attempts to schedule a workload while the node table is empty.
--- a/placement/schedule.go
+++ b/placement/schedule.go
@@ -129,11 +129,10 @@
 	n.changes.add(now, pending.request())
 	s.slowStart.recordSent(now, n)
 	return Step{
-		Kind:            Bind,
-		Node:            n.ID,
-		Timeout:         timeout,
-		QueuedReplyTime: maxQueuedReplyTime,
-		AnswerBy:        pending.expiresAt - answerMargin,
-		NextStep:        s.resultHandler(sent),
+		Kind:     Bind,
+		Node:     n.ID,
+		Timeout:  timeout,
+		AnswerBy: pending.expiresAt - answerMargin,
+		NextStep: s.resultHandler(sent),
 	}
 }
--- a/placement/step.go
+++ b/placement/step.go
@@ -19,13 +19,9 @@
 	Kind     StepKind
 	Node     NodeID // target of a Bind
 	Timeout  Millis // timeout of a Bind, from the time of the call that returned it
+	AnswerBy Millis // time of the latest final answer; set for a Bind
 	WakeAt   Millis // end of a Wait
 	NextStep func(now Millis, r Result) Step
-
-	// QueuedReplyTime is how long a Bind that has timed out may still wait for messages of its node that were received and
-	// are queued behind other work of this process, but not beyond AnswerBy.
-	QueuedReplyTime Millis
-	AnswerBy        Millis // time of the latest final answer
 }
 
 // Maintenance holds the actions that the scheduler requests beside the steps of workloads.
