Count bytes behind a blocked event loop as on their way

What callers would see: with over 512 queued events the event loops stop reading; a reply that has arrived and was not read counts as missing, its bind times out as if the node were silent, and a second one is sent.

Cause: transport.Queued counted messages that an event loop had read; a blocked loop has read only those of one connection.

Change: until a loop that was blocked has read its sockets again (two passes), the connections of its class count as having something queued.

--- a/internal/transport/eventloops.go
+++ b/internal/transport/eventloops.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"net"
 	"sync"
+	"sync/atomic"
 
 	"github.com/panjf2000/gnet/v2"
 )
@@ -23,6 +24,7 @@
 	closed            <-chan struct{} // signal after which no event loop is started
 	registrationSlots chan struct{}   // semaphore with a value per registration in progress
 	backlogs          [numClasses]*writeBacklog
+	behind            [numClasses]atomic.Int64 // times that a loop was blocked and has not read its sockets since
 
 	mu    sync.Mutex
 	loops [numClasses]*gnet.Client // index: priorityClass; nil until started
@@ -44,6 +46,21 @@
 // backlog returns the write backlog of the event loop of a class.
 func (l *eventLoops) backlog(class priorityClass) *writeBacklog { return l.backlogs[class] }
 
+// blocking records that the event loop of a connection is about to be blocked by a full event queue. It is behind until
+// it has read its sockets afterwards; a task that it runs after one pass over them may precede the read of some.
+func (l *eventLoops) blocking(c *connection) {
+	behind := &l.behind[c.class]
+	behind.Add(1)
+	worker := l.events.worker
+	eventLoop := c.socket.EventLoop()
+	worker.runOnEventLoop(eventLoop, func() {
+		worker.runOnEventLoop(eventLoop, func() { behind.Add(-1) })
+	})
+}
+
+// isBehind reports whether the sockets of a class may hold bytes that its event loop has not read, since it was blocked.
+func (l *eventLoops) isBehind(class priorityClass) bool { return l.behind[class].Load() > 0 }
+
 // register adds an established connection to the event loop of its class. On success the event loop owns the socket.
 func (l *eventLoops) register(socket net.Conn, c *connection) error {
 	// Urgent connections skip the semaphore, since hundreds of connections may be waiting for it at start-up.
--- a/internal/transport/queue.go
+++ b/internal/transport/queue.go
@@ -38,6 +38,7 @@
 	closed    chan struct{} // closed by close
 	closeOnce sync.Once
 	maxQueued int
+	blocking  func(*connection) // called before pushMessages blocks; nil if nobody needs to know
 
 	mu        sync.Mutex
 	notFull   *sync.Cond // signalled when the worker takes queued, and when the queue is closed
@@ -68,7 +69,10 @@
 // the event loop of the connection's class, so that TCP flow control slows the peers of the class down.
 func (q *eventQueue) pushMessages(messages []event) {
 	q.mu.Lock()
-	for !messages[0].isUrgent() && len(q.queued) > q.maxQueued && !q.isClosed() {
+	if q.holdsBack(messages) && q.blocking != nil {
+		q.blocking(messages[0].conn)
+	}
+	for q.holdsBack(messages) {
 		q.notFull.Wait()
 	}
 	q.add(messages...)
@@ -76,6 +80,11 @@
 	q.signal()
 }
 
+// holdsBack reports whether messages have to wait until the queue is no longer full. The caller holds mu.
+func (q *eventQueue) holdsBack(messages []event) bool {
+	return !messages[0].isUrgent() && len(q.queued) > q.maxQueued && !q.isClosed()
+}
+
 // add adds events of one connection. The caller holds mu.
 func (q *eventQueue) add(events ...event) {
 	if events[0].isUrgent() {
--- a/internal/transport/receiving.go
+++ b/internal/transport/receiving.go
@@ -17,7 +17,8 @@
 
 // MessageQueue is implemented by networks that queue received messages for their handler.
 type MessageQueue interface {
-	// Queued reports whether messages of a connection were received and not passed to the handler yet.
+	// Queued reports whether messages of a connection were received and not passed to the handler yet, or may have been
+	// received and were not read, since the queue is full.
 	Queued(c ConnID) bool
 }
 
@@ -48,7 +49,7 @@
 // Queued implements MessageQueue.
 func (w *worker) Queued(id ConnID) bool {
 	c := w.conns.find(id)
-	return c != nil && c.shared.queued.Load() > 0
+	return c != nil && (c.shared.queued.Load() > 0 || w.loops.isBehind(c.class))
 }
 
 // Queued implements MessageQueue.
--- a/internal/transport/worker.go
+++ b/internal/transport/worker.go
@@ -46,6 +46,7 @@
 		conns:   newConnTable(),
 	}
 	w.loops = newEventLoops(&socketEvents{worker: w}, loop.log, w.queue.closed)
+	w.queue.blocking = w.loops.blocking
 	return w
 }
 
