Divide the wiring of the platform's frontend, and shorten long comment lines

connectParts had 44 lines: the parts that place and adopt workloads and the handlers of messages are created by functions of their own, the health checker by its constructor. Comments of the packages that this work touched are wrapped where they exceeded 120 columns; tests on sockets name their harness. No behaviour changed.

--- a/internal/allocator/actions.go
+++ b/internal/allocator/actions.go
@@ -53,8 +53,8 @@
 
 // ReplyQueue is implemented by Actions whose host receives the replies of nodes before it passes them to the engine.
 type ReplyQueue interface {
-	// ReplyQueued reports whether something was received from the node of a bind in flight that may be its reply, and was
-	// not passed to the engine yet.
+	// ReplyQueued reports whether something was received from the node of a bind in flight that may be its reply, and
+	// was not passed to the engine yet.
 	ReplyQueued(id placement.WorkloadID, bind int) bool
 }
 
--- a/internal/frontend/platform/clients.go
+++ b/internal/frontend/platform/clients.go
@@ -8,18 +8,18 @@
 )
 
 const (
-	// clientSocketShare is the share of the file descriptors that client connections may use. The platform's rules allow
-	// clients a third; the margin tolerates clients that use more. The remaining descriptors are for nodes, the discovery
-	// service, the listener and the event loops.
+	// clientSocketShare is the share of the file descriptors that client connections may use. The platform's rules
+	// allow clients a third; the margin tolerates clients that use more. The remaining descriptors are for nodes, the
+	// discovery service, the listener and the event loops.
 	clientSocketShare = 0.4
-	// extraClientConns is the number of connections that are accepted beyond that share, so that the frontend can choose
-	// which connection to evict.
+	// extraClientConns is the number of connections that are accepted beyond that share, so that the frontend can
+	// choose which connection to evict.
 	extraClientConns = 8
 	// firstMessageTimeout, in ms, is how long a connection may stay open before its first message begins to arrive. The
 	// platform expects a reply within 3 s.
 	firstMessageTimeout = placement.Millis(2000)
-	// slowClientLogInterval, in ms, is the minimum time between two warnings about clients that do not read, since clients
-	// could fill the log.
+	// slowClientLogInterval, in ms, is the minimum time between two warnings about clients that do not read, since
+	// clients could fill the log.
 	slowClientLogInterval = placement.Millis(10e3)
 )
 
--- a/internal/frontend/platform/codec/discovery.go
+++ b/internal/frontend/platform/codec/discovery.go
@@ -9,8 +9,8 @@
 )
 
 const (
-	// MaxEventSize is the maximum size of an event of the discovery service, and of a chunk, in bytes. A list of several
-	// thousand nodes fits.
+	// MaxEventSize is the maximum size of an event of the discovery service, and of a chunk, in bytes. A list of
+	// several thousand nodes fits.
 	MaxEventSize = 1 << 20
 	// maxSkippedSize is the size in bytes above which an event counts as one without an end.
 	maxSkippedSize = 16 * MaxEventSize
--- a/internal/frontend/platform/endpoints.go
+++ b/internal/frontend/platform/endpoints.go
@@ -105,8 +105,8 @@
 	restarted := n.listed && n.entry.StartedAt != entry.StartedAt
 	n.entry = entry
 	l.nodes.markListed(n)
-	// The process of the node that had the address before has ended, even if the list still has the node. Its connection
-	// is closed, since an offer for it must not reach the node that has the address now.
+	// The process of the node that had the address before has ended, even if the list still has the node. Its
+	// connection is closed, since an offer for it must not reach the node that has the address now.
 	if displaced := l.nodes.assignAddr(n, endpoint.Address); displaced != nil {
 		l.conns.disconnectNode(now, displaced, errAddressTaken)
 		l.binder.processEnded(now, displaced)
--- a/internal/frontend/platform/frontend.go
+++ b/internal/frontend/platform/frontend.go
@@ -37,7 +37,8 @@
 	messageTimeout = placement.Millis(1000)
 	// maxWriteBuffer is the number of bytes that may wait for one peer; see transport.Limits.
 	maxWriteBuffer = 256 << 10
-	// writeBufferShare is the share of the memory limit that bytes which wait for all clients, or for all nodes, may use.
+	// writeBufferShare is the share of the memory limit that bytes which wait for all clients, or for all nodes, may
+	// use.
 	writeBufferShare = 0.125
 	// maxQueuedEvents is the approximate number of queued events above which connections are not read.
 	maxQueuedEvents = 512
--- a/internal/frontend/platform/newcomers_test.go
+++ b/internal/frontend/platform/newcomers_test.go
@@ -20,16 +20,16 @@
 // queued behind the silent connections that are opened after it.
 func TestClientConns_NewcomerBeforeAFloodOfSilentOnes_Served(t *testing.T) {
 	t.Parallel()
-	h := startOnSockets(t)
+	harness := startOnSockets(t)
 	busy, resume := make(chan struct{}), make(chan struct{})
-	go h.loop.Call(h.Frontend, func(placement.Millis) {
+	go harness.loop.Call(harness.Frontend, func(placement.Millis) {
 		close(busy)
 		<-resume
 	})
 	<-busy
-	newcomer := h.dialClient(t)
-	for range h.config.maxClientConns() + extraClientConns - 1 {
-		h.dialClient(t) // sends nothing
+	newcomer := harness.dialClient(t)
+	for range harness.config.maxClientConns() + extraClientConns - 1 {
+		harness.dialClient(t) // sends nothing
 	}
 	time.Sleep(settleTime)
 	_, err := newcomer.Write([]byte(requestLine(7, 10)))
--- a/internal/frontend/platform/nodeconnuse.go
+++ b/internal/frontend/platform/nodeconnuse.go
@@ -12,8 +12,8 @@
 	idleShare = 0.9
 	// maxPendingReleases is the maximum number of releases per node that wait for a connection.
 	maxPendingReleases = 4096
-	// maxPendingUnverified is the number of waiting releases per node beyond which none of workloads are queued that were
-	// handed over and may not exist.
+	// maxPendingUnverified is the number of waiting releases per node beyond which none of workloads are queued that
+	// were handed over and may not exist.
 	maxPendingUnverified = maxPendingReleases / 2
 )
 
--- a/internal/frontend/platform/nodehealth.go
+++ b/internal/frontend/platform/nodehealth.go
@@ -14,6 +14,17 @@
 	checks *frontend.HealthChecks
 }
 
+func newHealthChecker(env *environment, nodes *nodeTable, conns *nodeConns) *healthChecker {
+	h := &healthChecker{
+		environment: env,
+		nodes:       nodes,
+		conns:       conns,
+		checks:      frontend.NewHealthChecks(env.host, endGrace),
+	}
+	h.checks.SetReplyQueue(h.replyQueued)
+	return h
+}
+
 // pendingCheck is a health check that waits for a connection to its node.
 type pendingCheck struct {
 	checker *healthChecker
--- a/internal/frontend/platform/queuedreplies_test.go
+++ b/internal/frontend/platform/queuedreplies_test.go
@@ -22,15 +22,15 @@
 // work.
 func TestBinder_ReplyQueuedWhenTheBindIsDue_Confirmed(t *testing.T) {
 	t.Parallel()
-	h := startOnSockets(t)
-	client := h.dialClient(t)
+	harness := startOnSockets(t)
+	client := harness.dialClient(t)
 	_, err := client.Write([]byte(idempotentLine(7)))
 	require.NoError(t, err)
-	h.node.delay.Store(int64(50 * time.Millisecond))
-	require.Eventually(t, func() bool { return h.node.offers.Load() == 1 }, eventTimeout, time.Millisecond)
-	h.loop.Call(h.Frontend, func(placement.Millis) { time.Sleep(1800 * time.Millisecond) })
+	harness.node.delay.Store(int64(50 * time.Millisecond))
+	require.Eventually(t, func() bool { return harness.node.offers.Load() == 1 }, eventTimeout, time.Millisecond)
+	harness.loop.Call(harness.Frontend, func(placement.Millis) { time.Sleep(1800 * time.Millisecond) })
 	answer, err := bufio.NewReader(client).ReadString('\n')
 	require.NoError(t, err)
 	assert.Contains(t, answer, `{"verb":"STARTED","tag":"0000000000000007"`)
-	assert.Equal(t, int64(1), h.node.offers.Load())
+	assert.Equal(t, int64(1), harness.node.offers.Load())
 }
--- a/internal/frontend/platform/slowclients_test.go
+++ b/internal/frontend/platform/slowclients_test.go
@@ -37,8 +37,8 @@
 // was cut off, on each new connection again.
 func TestClientConns_FirstMessageArrivesSlowly_Answered(t *testing.T) {
 	t.Parallel()
-	h := startOnSockets(t)
-	client := h.dialClient(t)
+	harness := startOnSockets(t)
+	client := harness.dialClient(t)
 	request := requestLine(7, 13_000)
 	const pieceSize = 250 // 5 kB a second
 	began := time.Now()
@@ -56,8 +56,8 @@
 // Guards against clients that hold a connection with a first message that they send byte by byte.
 func TestClientConns_FirstMessageDrips_CutOff(t *testing.T) {
 	t.Parallel()
-	h := startOnSockets(t)
-	client := h.dialClient(t)
+	harness := startOnSockets(t)
+	client := harness.dialClient(t)
 	began := time.Now()
 	go func() {
 		for _, b := range []byte(requestLine(7, 10_000)) {
@@ -76,9 +76,9 @@
 // before they were answered. The connection ends after the last answer.
 func TestClientConns_MessageStops_OtherRequestsAnswered(t *testing.T) {
 	t.Parallel()
-	h := startOnSockets(t)
-	h.node.delay.Store(int64(2 * time.Duration(messageTimeout) * time.Millisecond))
-	client := h.dialClient(t)
+	harness := startOnSockets(t)
+	harness.node.delay.Store(int64(2 * time.Duration(messageTimeout) * time.Millisecond))
+	client := harness.dialClient(t)
 	_, err := client.Write([]byte(requestLine(7, 10) + requestLine(8, 10) + requestLine(9, 10)[:50]))
 	require.NoError(t, err)
 	lines := bufio.NewReader(client)
@@ -93,6 +93,6 @@
 	assert.Contains(t, all, `{"verb":"STARTED","tag":"0000000000000008"`)
 	_, err = lines.ReadString('\n')
 	require.ErrorIs(t, err, io.EOF)
-	h.waitUntil(t, func() bool { return h.Counters.StalledMessages == 1 && len(h.clients.conns) == 0 })
-	assert.Zero(t, h.Counters.Withdrawn)
+	harness.waitUntil(t, func() bool { return harness.Counters.StalledMessages == 1 && len(harness.clients.conns) == 0 })
+	assert.Zero(t, harness.Counters.Withdrawn)
 }
--- a/internal/frontend/platform/slowdiscovery_test.go
+++ b/internal/frontend/platform/slowdiscovery_test.go
@@ -23,44 +23,45 @@
 // startWithDiscovery starts a frontend on sockets, and waits until it has subscribed.
 func startWithDiscovery(t *testing.T) *socketHarness {
 	t.Helper()
-	h := startOnSockets(t)
-	require.Eventually(t, func() bool { return h.discovery.subscriptions() == 1 }, eventTimeout, writeInterval)
-	return h
+	harness := startOnSockets(t)
+	require.Eventually(t, func() bool { return harness.discovery.subscriptions() == 1 }, eventTimeout, writeInterval)
+	return harness
 }
 
 // Guards against a message timeout that cuts off an event of a discovery service that writes slowly: it was requested
 // again without end, and no later event was received either.
 func TestSubscription_EventTakesLongerThanTheMessageTimeout_Applied(t *testing.T) {
 	t.Parallel()
-	h := startWithDiscovery(t)
+	harness := startWithDiscovery(t)
 	const pieceSize = 1000 // 20 kB a second
 	event := sseEvent(2, longEvent(int(1.5*float64(messageTimeout)/1000*20*pieceSize)))
-	require.NoError(t, h.discovery.write(event, pieceSize))
-	h.waitUntil(t, func() bool { return h.nodeState() == placement.Draining })
-	assert.Equal(t, 1, h.discovery.subscriptions())
+	require.NoError(t, harness.discovery.write(event, pieceSize))
+	harness.waitUntil(t, func() bool { return harness.nodeState() == placement.Draining })
+	assert.Equal(t, 1, harness.discovery.subscriptions())
 }
 
 // Guards against a discovery service that stops in the middle of an event: the connection must be replaced soon.
 func TestSubscription_EventStops_RequestedAgain(t *testing.T) {
 	t.Parallel()
-	h := startWithDiscovery(t)
+	harness := startWithDiscovery(t)
 	event := sseEvent(2, longEvent(30_000))
-	require.NoError(t, h.discovery.stall(event[:20_000]))
-	require.Eventually(t, func() bool { return h.discovery.subscriptions() == 2 }, eventTimeout, writeInterval)
-	require.NoError(t, h.discovery.write(event, len(event)))
-	h.waitUntil(t, func() bool { return h.nodeState() == placement.Draining })
-	h.waitUntil(t, func() bool { return h.Counters.StalledMessages == 1 })
+	require.NoError(t, harness.discovery.stall(event[:20_000]))
+	require.Eventually(t, func() bool { return harness.discovery.subscriptions() == 2 }, eventTimeout, writeInterval)
+	require.NoError(t, harness.discovery.write(event, len(event)))
+	harness.waitUntil(t, func() bool { return harness.nodeState() == placement.Draining })
+	harness.waitUntil(t, func() bool { return harness.Counters.StalledMessages == 1 })
 }
 
 // Guards against a silence timeout that counts whole events: it replaced the connection during an event that takes
 // longer, or during several in a row.
 func TestSubscription_EventsTakeLongerThanTheSilenceTimeout_Applied(t *testing.T) {
 	t.Parallel()
-	h := startWithDiscovery(t)
+	harness := startWithDiscovery(t)
 	const pieceSize = 1000 // 20 kB a second
 	size := int(1.2 * float64(silenceTimeout) / 1000 * 20 * pieceSize)
 	events := sseEvent(2, longEvent(size)) + sseEvent(3, nodeEvent(3, "Ready", 0)) + sseEvent(4, longEvent(size))
-	require.NoError(t, h.discovery.write(events, pieceSize))
-	h.waitUntil(t, func() bool { return h.nodeState() == placement.Draining && h.subscription.revision == 4 })
-	assert.Equal(t, 1, h.discovery.subscriptions())
+	require.NoError(t, harness.discovery.write(events, pieceSize))
+	harness.waitUntil(t, func() bool { return harness.subscription.revision == 4 })
+	harness.waitUntil(t, func() bool { return harness.nodeState() == placement.Draining })
+	assert.Equal(t, 1, harness.discovery.subscriptions())
 }
--- a/internal/frontend/platform/slownodes_test.go
+++ b/internal/frontend/platform/slownodes_test.go
@@ -14,10 +14,10 @@
 // connection, ended with an unknown result, so that the client was told that its workload may have run.
 func TestReplyHandler_ReplyArrivesSlowly_Answered(t *testing.T) {
 	t.Parallel()
-	h := startOnSockets(t)
-	h.node.description = strings.Repeat("d", 13_000)
-	h.node.pieceSize = 250 // 5 kB a second
-	client := h.dialClient(t)
+	harness := startOnSockets(t)
+	harness.node.description = strings.Repeat("d", 13_000)
+	harness.node.pieceSize = 250 // 5 kB a second
+	client := harness.dialClient(t)
 	began := time.Now()
 	_, err := client.Write([]byte(requestLine(7, 10)))
 	require.NoError(t, err)
--- a/internal/frontend/platform/sockets_test.go
+++ b/internal/frontend/platform/sockets_test.go
@@ -37,23 +37,23 @@
 // startOnSockets runs a frontend with the harness's configuration until the end of the test.
 func startOnSockets(t *testing.T) *socketHarness {
 	t.Helper()
-	h := &socketHarness{
+	harness := &socketHarness{
 		loop:      transport.NewLoop(nil),
 		discovery: startDiscovery(t),
 		node:      startNode(t),
 	}
 	config := harnessConfig()
-	config.DiscoveryAddress = h.discovery.listener.Addr().String()
-	known := strings.Replace(string(config.KnownEvents[0]), nodeAddr, h.node.listener.Addr().String(), 1)
+	config.DiscoveryAddress = harness.discovery.listener.Addr().String()
+	known := strings.Replace(string(config.KnownEvents[0]), nodeAddr, harness.node.listener.Addr().String(), 1)
 	config.KnownEvents[0] = []byte(known)
-	h.Frontend = New(config, nil)
+	harness.Frontend = New(config, nil)
 	newCodec := func() transport.Codec { return codec.ClientCodec{} }
-	addr, err := h.loop.Listen(h.Frontend, newCodec, "127.0.0.1:0", h.Limits())
+	addr, err := harness.loop.Listen(harness.Frontend, newCodec, "127.0.0.1:0", harness.Limits())
 	require.NoError(t, err)
-	h.addr = addr
-	h.loop.Run()
-	t.Cleanup(h.loop.Close)
-	return h
+	harness.addr = addr
+	harness.loop.Run()
+	t.Cleanup(harness.loop.Close)
+	return harness
 }
 
 // waitUntil waits until the condition is true. It is evaluated on the frontend's goroutine.
--- a/internal/frontend/platform/wiring.go
+++ b/internal/frontend/platform/wiring.go
@@ -47,13 +47,24 @@
 
 // connectParts creates the parts that use the tables and the host, and sets the tables' references to those parts.
 func (f *Frontend) connectParts(env *environment) {
-	f.healthChecks = &healthChecker{
+	f.healthChecks = newHealthChecker(env, f.nodes, f.nodeConns)
+	f.addBinder(env)
+	f.addMessageHandlers(env)
+	f.endpoints = &endpointList{
 		environment: env,
 		nodes:       f.nodes,
 		conns:       f.nodeConns,
-		checks:      frontend.NewHealthChecks(env.host, endGrace),
+		binder:      f.binder,
+		unixTime:    unixTime,
 	}
-	f.healthChecks.checks.SetReplyQueue(f.healthChecks.replyQueued)
+	f.subscription = newSubscription(env, f.endpoints, f.lifecycle)
+	f.adoptions.subscription = f.subscription
+	f.clients.requests = f.requests
+	f.nodeConns.events = f.binder
+}
+
+// addBinder creates the parts that place and adopt workloads, which refer to each other.
+func (f *Frontend) addBinder(env *environment) {
 	f.binder = &binder{
 		environment: env,
 		workloads:   f.workloads,
@@ -69,6 +80,10 @@
 		binder:      f.binder,
 	}
 	f.binder.adoptions = f.adoptions
+}
+
+// addMessageHandlers creates the handlers of messages from nodes and clients.
+func (f *Frontend) addMessageHandlers(env *environment) {
 	f.replies = &replyHandler{
 		environment: env,
 		workloads:   f.workloads,
@@ -78,15 +93,4 @@
 		checks:      f.healthChecks,
 	}
 	f.requests = newRequestHandler(env, f.clients, f.workloads, f.lifecycle, f.adoptions)
-	f.endpoints = &endpointList{
-		environment: env,
-		nodes:       f.nodes,
-		conns:       f.nodeConns,
-		binder:      f.binder,
-		unixTime:    unixTime,
-	}
-	f.subscription = newSubscription(env, f.endpoints, f.lifecycle)
-	f.adoptions.subscription = f.subscription
-	f.clients.requests = f.requests
-	f.nodeConns.events = f.binder
 }
--- a/internal/transport/eventloops.go
+++ b/internal/transport/eventloops.go
@@ -58,7 +58,8 @@
 	})
 }
 
-// isBehind reports whether the sockets of a class may hold bytes that its event loop has not read, since it was blocked.
+// isBehind reports whether the sockets of a class may hold bytes that its event loop has not read, since it was
+// blocked.
 func (l *eventLoops) isBehind(class priorityClass) bool { return l.behind[class].Load() > 0 }
 
 // register adds an established connection to the event loop of its class. On success the event loop owns the socket.
--- a/internal/transport/limits.go
+++ b/internal/transport/limits.go
@@ -7,14 +7,15 @@
 	MaxFrameSize   int // maximum size of a frame body in bytes; used by ListenFrames only
 	MaxConnections int // maximum number of incoming connections per handler
 
-	// MaxWriteBuffer is the number of bytes that may wait for one peer to read them, in addition to those in the buffers
-	// of the operating system. A connection with more is closed once some of them have waited for SlowPeerTimeout.
+	// MaxWriteBuffer is the number of bytes that may wait for one peer to read them, in addition to those in the
+	// buffers of the operating system. A connection with more is closed once some of them have waited for
+	// SlowPeerTimeout.
 	MaxWriteBuffer int
 	// SlowPeerTimeout is the time in milliseconds after which a peer counts as not reading. Zero means
 	// defaultSlowPeerTimeout.
 	SlowPeerTimeout placement.Millis
-	// MaxTotalWriteBuffer is the number of bytes that may wait for all peers of an event loop. Above it, the connections
-	// whose bytes wait longest are closed. Zero means totalWriteBufferFactor times MaxWriteBuffer.
+	// MaxTotalWriteBuffer is the number of bytes that may wait for all peers of an event loop. Above it, the
+	// connections whose bytes wait longest are closed. Zero means totalWriteBufferFactor times MaxWriteBuffer.
 	MaxTotalWriteBuffer int
 
 	// PauseAcceptAtLimit leaves connections above MaxConnections in the listen backlog until another connection ends.
@@ -26,10 +27,10 @@
 	MaxQueuedEvents int
 
 	// MessageTimeout is the time in milliseconds in which a peer that has begun a message must complete it or send
-	// another progressSize bytes of it; zero means defaultMessageTimeout. A message whose bytes keep arriving at that rate
-	// may take any time, with pauses of up to maxProgressTimeouts times the limit. It guards against peers that stop in
-	// the middle of a message, or send it byte by byte, and stay connected. A low value disconnects peers on slow
-	// networks.
+	// another progressSize bytes of it; zero means defaultMessageTimeout. A message whose bytes keep arriving at that
+	// rate may take any time, with pauses of up to maxProgressTimeouts times the limit. It guards against peers that
+	// stop in the middle of a message, or send it byte by byte, and stay connected. A low value disconnects peers on
+	// slow networks.
 	MessageTimeout placement.Millis
 }
 
@@ -43,11 +44,11 @@
 const (
 	// defaultQueuedEvents is used when Limits.MaxQueuedEvents is zero.
 	defaultQueuedEvents = 1 << 16
-	// defaultSlowPeerTimeout, in ms, is used when Limits.SlowPeerTimeout is zero. It is longer than the pauses of a peer
-	// that reads: lost packets, a short partition, a stalled process.
+	// defaultSlowPeerTimeout, in ms, is used when Limits.SlowPeerTimeout is zero. It is longer than the pauses of a
+	// peer that reads: lost packets, a short partition, a stalled process.
 	defaultSlowPeerTimeout = placement.Millis(3000)
-	// defaultMessageTimeout, in ms, is used when Limits.MessageTimeout is zero. It is as long as defaultSlowPeerTimeout,
-	// for the same pauses.
+	// defaultMessageTimeout, in ms, is used when Limits.MessageTimeout is zero. It is as long as
+	// defaultSlowPeerTimeout, for the same pauses.
 	defaultMessageTimeout = placement.Millis(3000)
 	// totalWriteBufferFactor gives the default of Limits.MaxTotalWriteBuffer, in multiples of MaxWriteBuffer.
 	totalWriteBufferFactor = 16
--- a/internal/transport/messagetimeout.go
+++ b/internal/transport/messagetimeout.go
@@ -8,7 +8,7 @@
 )
 
 const (
-	// progressSize is the number of bytes of a message, in bytes, that extend its deadline by Limits.MessageTimeout.
+	// progressSize is the number of bytes of a message that extend its deadline by Limits.MessageTimeout.
 	progressSize = 1 << 10
 	// maxProgressTimeouts is the maximum time from the last received bytes to the deadline, in multiples of
 	// Limits.MessageTimeout: a peer that sends in bursts may pause, and one that stops is noticed soon.
--- a/internal/transport/receiving.go
+++ b/internal/transport/receiving.go
@@ -2,8 +2,8 @@
 
 // PartialReceiver is implemented by networks on which the parts of a message may arrive one after the other.
 type PartialReceiver interface {
-	// Receiving reports whether a part of a message has arrived on a connection and the rest has not. If its bytes do not
-	// keep arriving, Limits.MessageTimeout ends the connection.
+	// Receiving reports whether a part of a message has arrived on a connection and the rest has not. If its bytes do
+	// not keep arriving, Limits.MessageTimeout ends the connection.
 	Receiving(c ConnID) bool
 }
 
--- a/placement/bind.go
+++ b/placement/bind.go
@@ -24,8 +24,8 @@
 	sentAt Millis
 	// state is the furthest stage reached.
 	state bindState
-	// unverified is set for an adopted workload that the node has not reported on: the client that handed it over may be
-	// wrong about it.
+	// unverified is set for an adopted workload that the node has not reported on: the client that handed it over may
+	// be wrong about it.
 	unverified bool
 	// usedCores is the number of cores in use by the workload at the last observation; NaN before the first.
 	usedCores float64
--- a/placement/constants.go
+++ b/placement/constants.go
@@ -10,7 +10,8 @@
 	// maxDegradationShare is the share of a group's degradation range that the load of a node may use up, from 0
 	// (full service) to 1 (no service).
 	maxDegradationShare = 0.5
-	// memoryCap is the largest allowed share of a node's memory in use. The remaining tenth is for growth after a start.
+	// memoryCap is the largest allowed share of a node's memory in use. The remaining tenth is for growth after a
+	// start.
 	memoryCap = 0.9
 	// loadTieBand is the largest difference in utilization between loads that count as equal. Smaller
 	// differences are within the noise of load reports.
@@ -51,9 +52,9 @@
 	// remainingTimeDivisor divides a workload's remaining time to give a third minimum of that timeout. Where it is the
 	// largest of the three, half of the time is left for another bind.
 	remainingTimeDivisor = 2
-	// MaxQueuedReplyTime is the maximum time for which a bind or a health check that has timed out waits for messages of
-	// its node that were received and are queued: a full event queue is handled in less. A bind waits until Step.AnswerBy
-	// at the latest.
+	// MaxQueuedReplyTime is the maximum time for which a bind or a health check that has timed out waits for messages
+	// of its node that were received and are queued: a full event queue is handled in less. A bind waits until
+	// Step.AnswerBy at the latest.
 	MaxQueuedReplyTime = Millis(1000)
 	// answerMargin is the time between the latest final answer and the pending timeout.
 	answerMargin = Millis(20)
@@ -79,13 +80,14 @@
 const (
 	// minReservedSlots is the minimum number of reserved slots if any request with precedence sets the slot size.
 	minReservedSlots = 1
-	// maxReservedSlotsPerNode limits the slots reserved for groups of higher weight, in slots per node in the node table.
+	// maxReservedSlotsPerNode limits the slots reserved for groups of higher weight, in slots per node in the node
+	// table.
 	maxReservedSlotsPerNode = 0.5
 	// maxReservationWindows limits the time over which this allocator's requests are counted as an estimate of the
 	// requests at all allocators, in multiples of reservationWindow.
 	maxReservationWindows = 10
-	// reservationWindow is the period of recent requests that capacity is reserved for: the time that the node list takes
-	// to show a change of capacity.
+	// reservationWindow is the period of recent requests that capacity is reserved for: the time that the node list
+	// takes to show a change of capacity.
 	reservationWindow = Millis(2e3)
 	// maxGroupRequests is the number of requests kept per group: more than a group has within reservationWindow.
 	maxGroupRequests = 64
