Answer a client's other requests before a stalled frame ends its connection

What callers would see: with grebeglade serve, a client whose frame stops in the middle is disconnected (since the time of a frame is limited there too), and its pending requests are withdrawn without an answer, although they had arrived whole.

Cause: only a Handler could be an InputHandler; the adapter of frame handlers was closed at once.

Change: a FrameHandler may implement InputHandler.

Failed before: TestLoop_InputEnded_HandlerSendsAndCloses with a FrameHandler ('InputEnded was not called').

--- a/internal/frontend/native/ganghandler.go
+++ b/internal/frontend/native/ganghandler.go
@@ -3,7 +3,6 @@
 import (
 	"slices"
 
-	"grebeglade/internal/frontend"
 	"grebeglade/internal/gang"
 	"grebeglade/placement"
 	pb "grebeglade/proto/grebeglade/v1"
@@ -109,8 +108,18 @@
 // clientDisconnected withdraws a client's unanswered gangs, since no answer can be sent to it.
 func (h *gangHandler) clientDisconnected(now placement.Millis, client string) {
 	for _, g := range h.gangs.sorted() {
-		if h.gangs.contains(g) && g.id.client == client && g.answer == frontend.AnswerDue {
+		if h.gangs.contains(g) && g.awaitedBy(client) {
 			h.withdraw(now, g)
 		}
 	}
 }
+
+// hasUnanswered reports whether a client waits for the answer to a request for a gang.
+func (h *gangHandler) hasUnanswered(client string) bool {
+	for _, g := range h.gangs.byRequest {
+		if g.awaitedBy(client) {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/frontend/native/gangrequest.go
+++ b/internal/frontend/native/gangrequest.go
@@ -31,6 +31,11 @@
 	tracedState  gang.State        // state after the last execute; only changes are traced
 }
 
+// awaitedBy reports whether the client waits for the answer to the request.
+func (g *gangRequest) awaitedBy(client string) bool {
+	return g.id.client == client && g.answer == frontend.AnswerDue
+}
+
 // recovering reports whether parts of the gang were found on nodes after a restart, and others may follow.
 func (g *gangRequest) recovering() bool { return g.machine == nil }
 
--- a/internal/frontend/native/requests.go
+++ b/internal/frontend/native/requests.go
@@ -158,9 +158,18 @@
 // clientDisconnected withdraws a client's unanswered requests, since no answer can be sent to it. Placed workloads
 // continue to run.
 func (h *requestHandler) clientDisconnected(now placement.Millis, client string) {
-	unanswered := h.workloads.ofClient(client, func(w *workload) bool { return w.answer == frontend.AnswerDue })
-	for _, w := range unanswered {
+	for _, w := range h.unanswered(client) {
 		h.withdraw(now, w)
 	}
 	h.gangs.clientDisconnected(now, client)
 }
+
+// hasUnanswered reports whether a client waits for the answer to a request for a workload or a gang.
+func (h *requestHandler) hasUnanswered(client string) bool {
+	return len(h.unanswered(client)) > 0 || h.gangs.hasUnanswered(client)
+}
+
+// unanswered returns a client's workloads whose answer is due.
+func (h *requestHandler) unanswered(client string) []*workload {
+	return h.workloads.ofClient(client, func(w *workload) bool { return w.answer == frontend.AnswerDue })
+}
--- a/internal/transport/handler.go
+++ b/internal/transport/handler.go
@@ -17,8 +17,9 @@
 	Wake(now placement.Millis)
 }
 
-// InputHandler is implemented by a Handler that sends the outstanding messages on a connection whose peer has stopped
-// in the middle of a message, before it closes the connection. Connections of other handlers are closed at once.
+// InputHandler is implemented by a Handler or FrameHandler that sends the outstanding messages on a connection whose
+// peer has stopped in the middle of a message, before it closes the connection. Connections of other handlers are
+// closed at once.
 type InputHandler interface {
 	// InputEnded reports that a message did not keep arriving. Nothing more is received on the connection, and messages
 	// can still be sent. The handler has to close the connection; Closed is called if the peer does so first.
--- a/internal/transport/messagetimeout_test.go
+++ b/internal/transport/messagetimeout_test.go
@@ -188,46 +188,25 @@
 
 func (d drainingHandler) InputEnded(_ placement.Millis, c ConnID, _ error) { d.ended <- c }
 
-// drainingAdapter adapts a drainingHandler to Handler.
-type drainingAdapter struct {
-	frameHandler
-	drainingHandler
-}
-
-func (d drainingAdapter) Start(now placement.Millis, n Network) { d.frameHandler.Start(now, n) }
-
-func (d drainingAdapter) Opened(now placement.Millis, c ConnID) { d.frameHandler.Opened(now, c) }
-
-func (d drainingAdapter) Received(now placement.Millis, c ConnID, m any) {
-	d.frameHandler.Received(now, c, m)
-}
-
-func (d drainingAdapter) Closed(now placement.Millis, c ConnID, reason error) {
-	d.frameHandler.Closed(now, c, reason)
-}
-
-func (d drainingAdapter) Wake(now placement.Millis) { d.frameHandler.Wake(now) }
-
 // Guards the end of a connection's input: what follows the incomplete message is discarded, and the handler can still
 // send messages and close the connection.
 func TestLoop_InputEnded_HandlerSendsAndCloses(t *testing.T) {
 	limits := DefaultLimits
 	limits.MessageTimeout = 50
 	draining := drainingHandler{&echoHandler{}, make(chan ConnID, 1)}
-	codec := frameCodec{limits.MaxFrameSize}
-	handler := drainingAdapter{frameHandler{draining.echoHandler, codec}, draining}
-	loop := NewLoop(nil)
-	addr, err := loop.Listen(handler, func() Codec { return codec }, "127.0.0.1:0", limits)
-	require.NoError(t, err)
-	loop.Run()
-	t.Cleanup(loop.Close)
+	loop, addr := start(t, draining, limits)
 	peer := dial(t, addr)
-	_, err = peer.Write([]byte{0, 0})
+	_, err := peer.Write([]byte{0, 0})
 	require.NoError(t, err)
-	conn := <-draining.ended
+	var conn ConnID
+	select {
+	case conn = <-draining.ended:
+	case <-time.After(eventTimeout):
+		require.FailNow(t, "InputEnded was not called")
+	}
 	_, err = peer.Write(make([]byte, 100_000))
 	require.NoError(t, err)
-	loop.Call(handler, func(placement.Millis) {
+	loop.Call(draining, func(placement.Millis) {
 		draining.network.Send(conn, requestWithKey(5))
 		draining.network.Close(conn)
 	})
--- a/internal/transport/worker.go
+++ b/internal/transport/worker.go
@@ -167,7 +167,7 @@
 
 // handleInputEnded passes the end of a connection's input to a handler that still sends messages on it.
 func (w *worker) handleInputEnded(e *event) {
-	handler, ok := w.handler.(InputHandler)
+	handler, ok := w.inputHandler()
 	switch {
 	case e.conn.state == stateClosed:
 	case ok:
@@ -177,6 +177,16 @@
 	}
 }
 
+// inputHandler returns the handler as an InputHandler, if it or the FrameHandler that it adapts is one.
+func (w *worker) inputHandler() (InputHandler, bool) {
+	if adapter, ok := w.handler.(frameHandler); ok {
+		handler, ok := adapter.FrameHandler.(InputHandler)
+		return handler, ok
+	}
+	handler, ok := w.handler.(InputHandler)
+	return handler, ok
+}
+
 func (w *worker) handleClosed(e *event) {
 	c := e.conn
 	w.conns.remove(c.id)
