Let a stalled message go on while its client waits for other answers

What callers would see: a client that pauses in the middle of a message, with an earlier request unanswered, and then goes on, gets no answer to that message and those behind it.

Cause: the input of the connection was ended for good, though its client could not know, and the stream could still be decoded.

Clients' connections stay while requests are unanswered, with both protocols; others are closed as before. The state of an ended input, its event and the code that discards are gone.

Failed before: TestClientConns_MessageGoesOnAfterAStall_AllAnswered (EOF after one of three answers). TestClientConns_MessageStops_OtherRequestsAnswered is unchanged and passes.

--- a/internal/frontend/native/frontend.go
+++ b/internal/frontend/native/frontend.go
@@ -133,6 +133,12 @@
 	})
 }
 
+// KeepStalled implements transport.StallHandler: a client's connection stays open until its requests are answered.
+func (f *Frontend) KeepStalled(conn transport.ConnID) bool {
+	peer, open := f.connections.get(conn)
+	return open && peer.client != nil && f.requests.hasUnanswered(peer.client.name)
+}
+
 // Closed handles the end of a connection or a failed dial.
 func (f *Frontend) Closed(now placement.Millis, conn transport.ConnID, reason error) {
 	f.host.Handle(now, func() {
--- a/internal/frontend/platform/clients.go
+++ b/internal/frontend/platform/clients.go
@@ -35,7 +35,6 @@
 	confirmed    int                                // those of placed that a node has confirmed or reported on
 	lastReceived placement.Millis                   // time of the last message, or of opening if there is none
 	unanswered   map[placement.WorkloadID]*workload // requests on this connection without a final answer
-	inputEnded   error                              // why nothing more is received, or nil
 }
 
 // requestCanceler withdraws the unanswered requests of a closed connection.
@@ -160,25 +159,6 @@
 	cs.slowLogged = cs.counters.SlowClients
 }
 
-// answered records that a request was answered or needs no answer. A connection without input is closed after its last
-// answer was sent.
-func (cs *clientConns) answered(w *workload) {
-	c := cs.conns[w.client]
-	if c == nil {
-		return
-	}
-	delete(c.unanswered, w.id)
-	if c.inputEnded == nil || len(c.unanswered) > 0 {
-		return
-	}
-	cs.host.Defer(func(now placement.Millis) {
-		if cs.conns[c.id] == c {
-			cs.net.Close(c.id)
-			cs.lost(now, c, c.inputEnded)
-		}
-	})
-}
-
 // closed removes a closed connection and withdraws its unanswered requests, which can no longer be answered.
 func (cs *clientConns) closed(now placement.Millis, c *clientConn) {
 	delete(cs.conns, c.id)
--- a/internal/frontend/platform/frontend.go
+++ b/internal/frontend/platform/frontend.go
@@ -19,6 +19,7 @@
 package platform
 
 import (
+	"errors"
 	"log/slog"
 	"time"
 
@@ -79,7 +80,7 @@
 
 var (
 	_ transport.Handler      = (*Frontend)(nil)
-	_ transport.InputHandler = (*Frontend)(nil)
+	_ transport.StallHandler = (*Frontend)(nil)
 )
 
 // Frontend is an allocator on the platform. It must be used from one goroutine. All of its state is in its parts, which
@@ -209,21 +210,18 @@
 	}
 }
 
-// InputEnded implements transport.InputHandler: it handles the end of what is received on a connection, since a message
-// did not keep arriving. The connection of a client is closed once its requests are answered, others at once.
-func (f *Frontend) InputEnded(now placement.Millis, id transport.ConnID, reason error) {
-	f.Counters.StalledMessages++
-	if c := f.clients.get(id); c != nil && len(c.unanswered) > 0 {
-		c.inputEnded = reason
-		return
-	}
-	f.net.Close(id)
-	f.Closed(now, id, reason)
+// KeepStalled implements transport.StallHandler: a client's connection stays open until its requests are answered.
+func (f *Frontend) KeepStalled(id transport.ConnID) bool {
+	c := f.clients.get(id)
+	return c != nil && len(c.unanswered) > 0
 }
 
 // Closed implements transport.Handler: it handles the end of a connection or a failed dial.
 func (f *Frontend) Closed(now placement.Millis, id transport.ConnID, reason error) {
 	f.host.Handle(now, func() {
+		if errors.Is(reason, transport.ErrMessageTimeout) {
+			f.Counters.StalledMessages++
+		}
 		if f.subscription.owns(id) {
 			f.subscription.closed(now, reason)
 		} else if c := f.nodeConns.get(id); c != nil {
--- a/internal/frontend/platform/requests.go
+++ b/internal/frontend/platform/requests.go
@@ -179,6 +179,8 @@
 
 // markAnswered records that a request was answered or needs no answer.
 func (h *requestHandler) markAnswered(w *workload) {
-	h.clients.answered(w)
+	if c := h.clients.get(w.client); c != nil {
+		delete(c.unanswered, w.id)
+	}
 	h.workloads.markAnswered(w)
 }
--- a/internal/frontend/platform/slowclients_test.go
+++ b/internal/frontend/platform/slowclients_test.go
@@ -96,3 +96,29 @@
 	harness.waitUntil(t, func() bool { return harness.Counters.StalledMessages == 1 && len(harness.clients.conns) == 0 })
 	assert.Zero(t, harness.Counters.Withdrawn)
 }
+
+// Guards against a stall that costs the client what it sends afterwards: while an earlier request is unanswered, a
+// message that goes on after its deadline, and those behind it, must be answered too.
+func TestClientConns_MessageGoesOnAfterAStall_AllAnswered(t *testing.T) {
+	t.Parallel()
+	harness := startOnSockets(t)
+	harness.node.delay.Store(int64(3 * time.Duration(messageTimeout) * time.Millisecond))
+	client := harness.dialClient(t)
+	stalled := requestLine(8, 10)
+	_, err := client.Write([]byte(requestLine(7, 10) + stalled[:50]))
+	require.NoError(t, err)
+	time.Sleep(2 * time.Duration(messageTimeout) * time.Millisecond)
+	_, err = client.Write([]byte(stalled[50:] + requestLine(9, 10)))
+	require.NoError(t, err)
+	lines := bufio.NewReader(client)
+	var answers []string
+	for range 3 {
+		answer, err := lines.ReadString('\n')
+		require.NoError(t, err, "after %q", answers)
+		answers = append(answers, answer)
+	}
+	all := strings.Join(answers, "")
+	for _, tag := range []codec.Tag{7, 8, 9} {
+		assert.Contains(t, all, fmt.Sprintf(`{"verb":"STARTED","tag":%q`, tag))
+	}
+}
--- a/internal/transport/handler.go
+++ b/internal/transport/handler.go
@@ -17,13 +17,12 @@
 	Wake(now placement.Millis)
 }
 
-// InputHandler is implemented by a Handler or FrameHandler that sends the outstanding messages on a connection whose
-// peer has stopped in the middle of a message, before it closes the connection. Connections of other handlers are
-// closed at once.
-type InputHandler interface {
-	// InputEnded reports that a message did not keep arriving. Nothing more is received on the connection, and messages
-	// can still be sent. The handler has to close the connection; Closed is called if the peer does so first.
-	InputEnded(now placement.Millis, c ConnID, reason error)
+// StallHandler is implemented by a Handler or FrameHandler that keeps some connections open although their peer has
+// stopped in the middle of a message. Connections of other handlers are closed.
+type StallHandler interface {
+	// KeepStalled reports whether a connection whose message does not keep arriving stays open, such as that of a client
+	// that waits for answers. It is called again after each further Limits.MessageTimeout.
+	KeepStalled(c ConnID) bool
 }
 
 // Network is the output side of a Handler. Its methods never call the handler synchronously.
--- a/internal/transport/messagetimeout.go
+++ b/internal/transport/messagetimeout.go
@@ -27,7 +27,6 @@
 	number     atomic.Uint64 // number of the incomplete message, or zero if there is none; loaded by the worker
 	lastNumber uint64        // highest number assigned so far
 	buffered   int           // received bytes that the codec has not consumed
-	ended      bool          // further bytes are discarded
 
 	// Valid while a message is incomplete.
 	begunAt  placement.Millis // time at which its first bytes were read
@@ -113,35 +112,48 @@
 	})
 }
 
-// checkMessage ends the input of the connection if the message with that number is incomplete and its deadline has
-// passed. If its bytes keep arriving, the check is scheduled again. The event loop calls it.
+// checkMessage handles a message with that number that is incomplete at its deadline: it closes the connection, unless
+// the handler keeps it. If the bytes keep arriving, the check is scheduled again. The event loop calls it.
 func (c *connection) checkMessage(number uint64) {
 	if c.inbound.number.Load() != number || c.shared.ended.Load() {
 		return
 	}
-	if c.worker.loop.Now() < c.inbound.deadline {
+	handler, keepsSome := c.worker.stallHandler()
+	switch {
+	case c.worker.loop.Now() < c.inbound.deadline:
 		c.scheduleMessageCheck()
-		return
+	case keepsSome:
+		c.worker.queue.push(event{
+			kind: eventStalled,
+			conn: c,
+			call: func(placement.Millis) { c.askWhetherToKeep(handler, number) },
+		})
+	default:
+		c.fail(c.inbound.timeoutError())
 	}
-	c.endInput(c.inbound.timeoutError())
 }
 
-// endInput discards what the peer has sent and still sends, and queues the reason for the handler. The event loop calls
-// it.
-func (c *connection) endInput(reason error) {
-	c.inbound.ended = true
-	c.inbound.number.Store(0)
-	c.discardInput()
-	c.worker.queue.push(event{
-		kind:   eventInputEnded,
-		conn:   c,
-		reason: reason,
-	})
+// askWhetherToKeep asks the handler whether the connection of the message with that number stays open. The worker calls
+// it, after the messages that were received before.
+func (c *connection) askWhetherToKeep(handler StallHandler, number uint64) {
+	if c.inbound.number.Load() != number || c.state == stateClosed {
+		return
+	}
+	keep := handler.KeepStalled(c.id)
+	c.worker.runOnEventLoop(c.socket.EventLoop(), func() { c.endStalled(number, keep) })
 }
 
-// discardInput discards the bytes that were read and not decoded. The event loop calls it.
-func (c *connection) discardInput() {
-	if _, err := c.socket.Discard(-1); err != nil {
-		c.worker.loop.log.Debug("bytes not discarded", "peer", c.socket.RemoteAddr(), "error", err)
+// endStalled closes the connection if the message with that number is still incomplete, or gives it another
+// Limits.MessageTimeout. The event loop calls it.
+func (c *connection) endStalled(number uint64, keep bool) {
+	if c.inbound.number.Load() != number || c.shared.ended.Load() {
+		return
+	}
+	now := c.worker.loop.Now()
+	if !keep && now >= c.inbound.deadline {
+		c.fail(c.inbound.timeoutError())
+		return
 	}
+	c.inbound.deadline = max(c.inbound.deadline, now+c.worker.limits.MessageTimeout)
+	c.scheduleMessageCheck()
 }
--- a/internal/transport/messagetimeout_test.go
+++ b/internal/transport/messagetimeout_test.go
@@ -4,6 +4,7 @@
 	"net"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -180,41 +181,55 @@
 	}
 }
 
-// drainingHandler is an echoHandler that keeps connections open whose input has ended.
-type drainingHandler struct {
+// keepingHandler is an echoHandler that keeps connections with a stalled message open while keep is true.
+type keepingHandler struct {
 	*echoHandler
-	ended chan ConnID
+	keep  *atomic.Bool
+	asked chan ConnID
 }
 
-func (d drainingHandler) InputEnded(_ placement.Millis, c ConnID, _ error) { d.ended <- c }
+func (k keepingHandler) KeepStalled(c ConnID) bool {
+	select {
+	case k.asked <- c:
+	default:
+	}
+	return k.keep.Load()
+}
 
-// Guards the end of a connection's input: what follows the incomplete message is discarded, and the handler can still
-// send messages and close the connection.
-func TestLoop_InputEnded_HandlerSendsAndCloses(t *testing.T) {
+// Guards both decisions on a connection whose message has stalled: one that is kept receives the rest of the message
+// and what follows, and one that is not kept any more is closed.
+func TestLoop_StalledMessage_KeptWhileTheHandlerWantsTo(t *testing.T) {
 	limits := DefaultLimits
 	limits.MessageTimeout = 50
-	draining := drainingHandler{&echoHandler{}, make(chan ConnID, 1)}
-	loop, addr := start(t, draining, limits)
+	keeping := keepingHandler{&echoHandler{}, &atomic.Bool{}, make(chan ConnID)}
+	keeping.keep.Store(true)
+	_, addr := start(t, keeping, limits)
+	request, err := AppendFrame(nil, sampleRequest())
+	require.NoError(t, err)
 	peer := dial(t, addr)
-	_, err := peer.Write([]byte{0, 0})
+	_, err = peer.Write(request[:5])
 	require.NoError(t, err)
-	var conn ConnID
-	select {
-	case conn = <-draining.ended:
-	case <-time.After(eventTimeout):
-		require.FailNow(t, "InputEnded was not called")
+	for range 3 {
+		keeping.waitAsked(t)
 	}
-	_, err = peer.Write(make([]byte, 100_000))
+	_, err = peer.Write(append(request[5:], request...))
 	require.NoError(t, err)
-	loop.Call(draining, func(placement.Millis) {
-		draining.network.Send(conn, requestWithKey(5))
-		draining.network.Close(conn)
-	})
-	f, err := read(peer)
+	assertSampleAnswer(t, peer)
+	assertSampleAnswer(t, peer)
+	keeping.closeReasons(t, 0)
+	_, err = peer.Write(request[:5])
 	require.NoError(t, err)
-	assert.Equal(t, uint64(5), f.GetPlaceRequest().GetKey())
-	_, err = read(peer)
-	require.Error(t, err)
-	assert.Zero(t, draining.requests)
-	assert.Zero(t, loop.Stats.MalformedMessages.Load())
+	keeping.waitAsked(t)
+	keeping.keep.Store(false)
+	require.ErrorIs(t, keeping.closeReasons(t, 1)[0], ErrMessageTimeout)
+}
+
+// waitAsked waits until KeepStalled is called.
+func (k keepingHandler) waitAsked(t *testing.T) {
+	t.Helper()
+	select {
+	case <-k.asked:
+	case <-time.After(eventTimeout):
+		require.FailNow(t, "KeepStalled was not called")
+	}
 }
--- a/internal/transport/queue.go
+++ b/internal/transport/queue.go
@@ -11,21 +11,21 @@
 type eventKind uint8
 
 const (
-	eventCall       eventKind = iota // function call that is due at a given time
-	eventOpened                      // connection established
-	eventMessage                     // message received
-	eventInputEnded                  // nothing more is received on the connection, which is still open
-	eventClosed                      // connection ended, or dialing failed
+	eventCall    eventKind = iota // function call that is due at a given time
+	eventOpened                   // connection established
+	eventMessage                  // message received
+	eventStalled                  // a message of the connection does not keep arriving
+	eventClosed                   // connection ended, or dialing failed
 )
 
 // event is one unit of work of a worker. Fields that do not apply to its kind are zero.
 type event struct {
 	kind    eventKind
-	conn    *connection      // nil for eventCall
-	message any              // set for eventMessage
-	reason  error            // set for eventInputEnded and eventClosed: why the input or the connection ended
-	at      placement.Millis // set for eventMessage: time of the read; for eventCall: due time
-	call    func(now placement.Millis)
+	conn    *connection                // nil for eventCall
+	message any                        // set for eventMessage
+	reason  error                      // set for eventClosed: why the connection ended
+	at      placement.Millis           // set for eventMessage: time of the read; for eventCall: due time
+	call    func(now placement.Millis) // set for eventCall and eventStalled
 }
 
 // isUrgent reports whether the event is handled before other queued events.
--- a/internal/transport/socketevents.go
+++ b/internal/transport/socketevents.go
@@ -45,10 +45,6 @@
 	if !ok {
 		return gnet.Close
 	}
-	if conn.inbound.ended {
-		conn.discardInput()
-		return gnet.None
-	}
 	unread, err := socket.Peek(-1)
 	if err != nil {
 		return gnet.None
--- a/internal/transport/worker.go
+++ b/internal/transport/worker.go
@@ -132,8 +132,8 @@
 		w.handleOpened(e.conn)
 	case eventMessage:
 		w.handleMessage(e)
-	case eventInputEnded:
-		w.handleInputEnded(e)
+	case eventStalled:
+		e.call(w.now)
 	case eventClosed:
 		w.handleClosed(e)
 	}
@@ -165,25 +165,13 @@
 	w.handler.Received(w.now, e.conn.id, e.message)
 }
 
-// handleInputEnded passes the end of a connection's input to a handler that still sends messages on it.
-func (w *worker) handleInputEnded(e *event) {
-	handler, ok := w.inputHandler()
-	switch {
-	case e.conn.state == stateClosed:
-	case ok:
-		handler.InputEnded(w.now, e.conn.id, e.reason)
-	default:
-		e.conn.fail(e.reason)
-	}
-}
-
-// inputHandler returns the handler as an InputHandler, if it or the FrameHandler that it adapts is one.
-func (w *worker) inputHandler() (InputHandler, bool) {
+// stallHandler returns the handler as a StallHandler, if it or the FrameHandler that it adapts is one.
+func (w *worker) stallHandler() (StallHandler, bool) {
 	if adapter, ok := w.handler.(frameHandler); ok {
-		handler, ok := adapter.FrameHandler.(InputHandler)
+		handler, ok := adapter.FrameHandler.(StallHandler)
 		return handler, ok
 	}
-	handler, ok := w.handler.(InputHandler)
+	handler, ok := w.handler.(StallHandler)
 	return handler, ok
 }
 
