Compute lifetimes of simulated workloads alike on all kinds of machines

What was seen: on arm64 four tests of internal/compatibility fail, TestLabPlayJSON_AsStored, TestVirtualScenarios_DigestsAsStored, TestHistory_Written_AsStored and TestExperimentJSON_AsStored, all in digests; on amd64 they pass.

Cause: the emulator draws lifetimes with math.Exp, for which the library has assembly of its own for each kind of machine. The results differ in the last bit. Switching off fused products does not change that.

Change: an exponential of the project's own, with the steps that the library takes on amd64 with FMA, each operation rounded explicitly. The stored files are as they were.

Not changed: ExpFloat64 and NormFloat64 of the library, which call math.Log and math.Exp in rare branches.

--- a/internal/simulation/emulator/client_demand.go
+++ b/internal/simulation/emulator/client_demand.go
@@ -1,7 +1,6 @@
 package emulator
 
 import (
-	"math"
 	"math/rand/v2"
 
 	"grebeglade/internal/simulation/scenario"
@@ -67,7 +66,7 @@
 
 // lifetime draws a lifetime from a log-normal distribution whose mean is demand.Lifetime. It is at least minRemaining.
 func (s *demandSource) lifetime(demand *scenario.Demand) placement.Millis {
-	factor := math.Exp(s.rng.NormFloat64()*lifetimeSigma - lifetimeSigma*lifetimeSigma/2)
+	factor := exponential(s.rng.NormFloat64()*lifetimeSigma - lifetimeSigma*lifetimeSigma/2)
 	return max(minRemaining, demand.Lifetime*placement.Millis(factor))
 }
 
