Reproduce eleven ways in which clients are left waiting, as known red tests

No code is changed.

Change: internal/endtoend runs the platform's allocator as a process, with nodes that vanish, are cut off or forget connections, a discovery service that falls silent or resets, and clients.

--- /dev/null
+++ b/internal/endtoend/node_test.go
@@ -0,0 +1,313 @@
+package endtoend_test
+
+import (
+	"fmt"
+	"net"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"grebeglade/internal/frontend/platform/codec"
+)
+
+// node is a stand-in for a node. It confirms each offer after startTime, unless told otherwise.
+type node struct {
+	name      string
+	listener  *net.TCPListener
+	startTime time.Duration
+
+	mu       sync.Mutex
+	conns    map[*nodeConn]bool
+	tasks    map[codec.Tag]*task
+	unsent   []codec.Tag   // ended tasks whose release is sent on the next connection opened
+	cut      chan struct{} // closed once the node can be reached again; nil while it can be
+	gone     bool          // the machine has vanished
+	fillers  []net.Conn    // connections that fill the listener's backlog
+	dials    int           // connections accepted
+	silentAt time.Time     // time since which nothing reaches the node
+}
+
+// task is a workload that a node was offered.
+type task struct {
+	conn    *nodeConn // connection of the offer; nil once it has ended
+	running bool
+}
+
+// nodeConn is one connection of an allocator.
+type nodeConn struct {
+	node *node
+	net.Conn
+	sending   sync.Mutex
+	forgotten bool // guarded by node.mu
+}
+
+// startNodes starts nodes at free addresses.
+func startNodes(t *testing.T, count int) []*node {
+	t.Helper()
+	nodes := make([]*node, 0, count)
+	for i := range count {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(t, err)
+		n := &node{
+			name:      fmt.Sprintf("s-%08x", i+1),
+			listener:  listener.(*net.TCPListener),
+			startTime: 20 * time.Millisecond,
+			conns:     map[*nodeConn]bool{},
+			tasks:     map[codec.Tag]*task{},
+		}
+		t.Cleanup(func() { _ = listener.Close() }) // the end of the test ignores what is not accepted
+		go n.accept()
+		nodes = append(nodes, n)
+	}
+	return nodes
+}
+
+// endpoint returns the node's entry in the list.
+func (n *node) endpoint(status string) endpoint {
+	return endpoint{
+		Name: n.name, Address: n.listener.Addr().String(), Zone: "z", Type: "small", Status: status, Weight: 1,
+		Room: [2]float64{60, 120},
+	}
+}
+
+// accept serves connections until the listener is closed or the node cannot be reached.
+func (n *node) accept() {
+	for {
+		conn, err := n.listener.Accept()
+		if err != nil {
+			return
+		}
+		n.mu.Lock()
+		if n.cut != nil {
+			n.fillers = append(n.fillers, conn)
+			n.mu.Unlock()
+			return
+		}
+		n.dials++
+		c := &nodeConn{node: n, Conn: conn}
+		n.conns[c] = true
+		unsent := n.unsent
+		n.unsent = nil
+		n.mu.Unlock()
+		for _, tag := range unsent {
+			c.send(codec.NewTermination(tag, codec.CauseNormal))
+		}
+		go c.read()
+	}
+}
+
+// waitUntilReachable blocks while the node is cut off. It returns false if the machine has vanished.
+func (n *node) waitUntilReachable() bool {
+	n.mu.Lock()
+	cut := n.cut
+	n.mu.Unlock()
+	if cut != nil {
+		<-cut
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return !n.gone
+}
+
+// send sends a message once the node can be reached.
+func (c *nodeConn) send(message any) {
+	encoded, err := codec.NodeCodec{}.Append(nil, message)
+	if err != nil || !c.node.waitUntilReachable() {
+		return
+	}
+	c.sending.Lock()
+	defer c.sending.Unlock()
+	_, _ = c.Write(encoded) // an error ends the reading too
+}
+
+// read handles the messages of the connection until its end.
+func (c *nodeConn) read() {
+	var received []byte
+	buffer := make([]byte, codec.MaxMessageSize)
+	for {
+		count, err := c.Read(buffer)
+		if !c.node.waitUntilReachable() {
+			return
+		}
+		if err != nil {
+			c.ended()
+			return
+		}
+		if c.isForgotten() {
+			resetConn(c)
+			return
+		}
+		received = append(received, buffer[:count]...)
+		for {
+			message, used, err := codec.NodeCodec{}.Decode(received)
+			if err != nil || used == 0 {
+				break
+			}
+			received = received[used:]
+			c.handle(message)
+		}
+	}
+}
+
+func (c *nodeConn) isForgotten() bool {
+	c.node.mu.Lock()
+	defer c.node.mu.Unlock()
+	return c.forgotten
+}
+
+// ended removes the connection. Offers without a reply on it are given up.
+func (c *nodeConn) ended() {
+	n := c.node
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	_ = c.Close() // the peer has closed it
+	delete(n.conns, c)
+	for tag, offered := range n.tasks {
+		if offered.conn != c {
+			continue
+		}
+		offered.conn = nil
+		if !offered.running {
+			delete(n.tasks, tag)
+		}
+	}
+}
+
+// handle handles one message of the allocator.
+func (c *nodeConn) handle(message any) {
+	switch message := message.(type) {
+	case *codec.Offer:
+		c.node.mu.Lock()
+		offered := &task{conn: c}
+		c.node.tasks[message.Tag] = offered
+		c.node.mu.Unlock()
+		time.AfterFunc(c.node.startTime, func() { c.node.start(message.Tag, offered) })
+	case *codec.HealthCheck:
+		go c.send(codec.NewHealthReply(message.Tag, true))
+	case *codec.Termination:
+		c.node.mu.Lock()
+		delete(c.node.tasks, message.Tag)
+		c.node.mu.Unlock()
+	}
+}
+
+// start starts a task that was offered, unless it was given up, and confirms it.
+func (n *node) start(tag codec.Tag, offered *task) {
+	n.mu.Lock()
+	c := offered.conn
+	if n.gone || n.tasks[tag] != offered || c == nil {
+		n.mu.Unlock()
+		return
+	}
+	offered.running = true
+	n.mu.Unlock()
+	c.send(codec.NewConfirmation(tag, "runs at "+n.name))
+}
+
+// end ends a running task. Its release goes on the connection of its offer or, failing that, on any open one, and on
+// the next one opened as well.
+func (n *node) end(tag codec.Tag) {
+	n.mu.Lock()
+	ended := n.tasks[tag]
+	delete(n.tasks, tag)
+	if ended == nil {
+		n.mu.Unlock()
+		return
+	}
+	c := ended.conn
+	for other := range n.conns {
+		if c == nil {
+			c = other
+		}
+	}
+	n.unsent = append(n.unsent, tag)
+	n.mu.Unlock()
+	if c != nil {
+		go c.send(codec.NewTermination(tag, codec.CauseNormal))
+	}
+}
+
+// running returns the tags of the tasks that run on the node.
+func (n *node) running() (tags []codec.Tag) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for tag, offered := range n.tasks {
+		if offered.running {
+			tags = append(tags, tag)
+		}
+	}
+	return tags
+}
+
+// cutOff makes the node unreachable: nothing passes on open connections, and new ones do not come up. Its tasks go on.
+func (n *node) cutOff(t *testing.T) {
+	t.Helper()
+	n.mu.Lock()
+	n.cut = make(chan struct{})
+	n.silentAt = time.Now()
+	n.mu.Unlock()
+	n.setBacklog(t, 0)
+	const fillers = 4 // more than a listener without a backlog takes
+	for range fillers {
+		go func() {
+			conn, err := net.DialTimeout("tcp", n.listener.Addr().String(), time.Minute)
+			if err != nil {
+				return
+			}
+			n.mu.Lock()
+			n.fillers = append(n.fillers, conn)
+			n.mu.Unlock()
+		}()
+	}
+}
+
+// vanish makes the node's machine vanish with all its tasks.
+func (n *node) vanish(t *testing.T) {
+	t.Helper()
+	n.cutOff(t)
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.gone = true
+}
+
+// reconnect makes the node reachable again. What was written meanwhile arrives.
+func (n *node) reconnect(t *testing.T) {
+	t.Helper()
+	n.mu.Lock()
+	cut := n.cut
+	n.cut = nil
+	for _, conn := range n.fillers {
+		_ = conn.Close() // one end of it may be closed already
+	}
+	n.fillers = nil
+	n.mu.Unlock()
+	n.setBacklog(t, syscall.SOMAXCONN)
+	close(cut)
+	go n.accept()
+}
+
+// setBacklog changes the number of connections that may wait for the listener.
+func (n *node) setBacklog(t *testing.T, backlog int) {
+	t.Helper()
+	raw, err := n.listener.SyscallConn()
+	require.NoError(t, err)
+	require.NoError(t, raw.Control(func(fd uintptr) { err = syscall.Listen(int(fd), backlog) }))
+	require.NoError(t, err)
+}
+
+// forget makes the node forget its connections: it sends nothing on them any more, and resets one on which something
+// arrives. Its tasks go on.
+func (n *node) forget() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for c := range n.conns {
+		c.forgotten = true
+		delete(n.conns, c)
+	}
+	for _, offered := range n.tasks {
+		offered.conn = nil
+	}
+}
