Notice by itself that the machine of a node which runs workloads is lost

What callers saw: a client whose workload ran on a machine that vanished or was cut off got no FINISH within 8 s, and none at all while the discovery service was silent. The same where a node forgot its idle connection (told after 14.9 s), and where a node confirmed a bind after its removal and then vanished (never).

Cause: an open connection with no traffic looks like a healthy idle one, and nothing but the node list told of a silent node.

A node that runs workloads and was not heard of for 1 s is checked by a further connection: it comes up whenever the machine can be reached, costs the node no priced work, and lets a node send releases that it could not send before. The first attempt without a response begins a period; if two attempts later than 6.05 s after it get none either, the workloads have ended: clients are notified, and releases wait for the node, in case it was only cut off. Refused connections and failures on this machine count for nothing. A health check instead would cost the node work for each workload and second, and would take a process that hangs for a lost machine.

The stand-in for a cut-off node let one connection through when its backlog was filled in the wrong order; that is mended in the same tests.

--- a/internal/endtoend/allocator_test.go
+++ b/internal/endtoend/allocator_test.go
@@ -110,7 +110,7 @@
 	if err != nil {
 		return false
 	}
-	defer func() { _ = conn.Close() }() // the allocator may have closed it
+	defer func() { _ = conn.Close() }()               // the allocator may have closed it
 	_ = conn.SetDeadline(time.Now().Add(time.Second)) // fails only on a closed connection
 	if _, err := fmt.Fprint(conn, `{"verb":"ECHO","tag":"00000000000000ff","opts":{},"rc":0}`+"\n"); err != nil {
 		return false
--- a/internal/endtoend/node_test.go
+++ b/internal/endtoend/node_test.go
@@ -26,8 +26,8 @@
 	cut      chan struct{} // closed once the node can be reached again; nil while it can be
 	gone     bool          // the machine has vanished
 	fillers  []net.Conn    // connections that fill the listener's backlog
+	accepted chan struct{} // closed when accept has returned
 	dials    int           // connections accepted
-	silentAt time.Time     // time since which nothing reaches the node
 }
 
 // task is a workload that a node was offered.
@@ -59,7 +59,8 @@
 			tasks:     map[codec.Tag]*task{},
 		}
 		t.Cleanup(func() { _ = listener.Close() }) // the end of the test ignores what is not accepted
-		go n.accept()
+		n.accepted = make(chan struct{})
+		go n.accept(n.accepted)
 		nodes = append(nodes, n)
 	}
 	return nodes
@@ -74,7 +75,8 @@
 }
 
 // accept serves connections until the listener is closed or the node cannot be reached.
-func (n *node) accept() {
+func (n *node) accept(returned chan struct{}) {
+	defer close(returned)
 	for {
 		conn, err := n.listener.Accept()
 		if err != nil {
@@ -247,21 +249,26 @@
 	t.Helper()
 	n.mu.Lock()
 	n.cut = make(chan struct{})
-	n.silentAt = time.Now()
+	accepted := n.accepted
 	n.mu.Unlock()
 	n.setBacklog(t, 0)
-	const fillers = 4 // more than a listener without a backlog takes
-	for range fillers {
-		go func() {
-			conn, err := net.DialTimeout("tcp", n.listener.Addr().String(), time.Minute)
-			if err != nil {
-				return
-			}
-			n.mu.Lock()
-			n.fillers = append(n.fillers, conn)
-			n.mu.Unlock()
-		}()
+	require.True(t, n.fill(), "the connection that accept waits for")
+	<-accepted
+	for n.fill() {
+	}
+}
+
+// fill opens a connection that waits for the listener. It returns false if none comes up any more.
+func (n *node) fill() bool {
+	const timeout = 20 * time.Millisecond
+	conn, err := net.DialTimeout("tcp", n.listener.Addr().String(), timeout)
+	if err != nil {
+		return false
 	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.fillers = append(n.fillers, conn)
+	return true
 }
 
 // vanish makes the node's machine vanish with all its tasks.
@@ -283,10 +290,11 @@
 		_ = conn.Close() // one end of it may be closed already
 	}
 	n.fillers = nil
+	n.accepted = make(chan struct{})
+	go n.accept(n.accepted)
 	n.mu.Unlock()
 	n.setBacklog(t, syscall.SOMAXCONN)
 	close(cut)
-	go n.accept()
 }
 
 // setBacklog changes the number of connections that may wait for the listener.
--- a/internal/frontend/platform/adoptions.go
+++ b/internal/frontend/platform/adoptions.go
@@ -76,6 +76,7 @@
 		a.evict(now)
 	}
 	a.handovers.add(request.Tag, added)
+	a.conns.watch(now, added.node)
 	a.conns.connect(now, added.node)
 }
 
--- a/internal/frontend/platform/frontend.go
+++ b/internal/frontend/platform/frontend.go
@@ -55,6 +55,10 @@
 
 	EvictedHandovers uint64 // handovers that were ended since there were too many
 
+	LivenessChecks  uint64 // connections opened to check that a node which runs workloads can be reached
+	SilentNodes     uint64 // nodes whose workloads ended because their machine was silent
+	DroppedReleases uint64 // releases that were not sent to a node since too many wait
+
 	SlowClients uint64 // client connections closed because the client did not read
 	SlowNodes   uint64 // node connections closed because the node did not read
 
@@ -201,6 +205,7 @@
 func (f *Frontend) receivedFromPeer(now placement.Millis, id transport.ConnID, message codec.Message) {
 	if c := f.nodeConns.get(id); c != nil {
 		c.lastReceived = now
+		f.nodeConns.heard(now, c.node)
 		f.replies.received(now, c, message)
 		return
 	}
--- a/internal/frontend/platform/nodeconn.go
+++ b/internal/frontend/platform/nodeconn.go
@@ -21,6 +21,8 @@
 	id    transport.ConnID
 	node  *node
 	state connState
+	// dialedAt is the time of the dial.
+	dialedAt placement.Millis
 	// lastSent is the time of the last offer, health check or release, or of the dial. Pending releases do not set it.
 	lastSent     placement.Millis
 	lastReceived placement.Millis                   // time of the last message, or of opening
@@ -36,12 +38,17 @@
 	c.node.conn = nil
 }
 
-// evictedBefore defines the eviction order: connections to nodes without workloads come first, then those with an older
-// lastSent.
+// ofCheck reports whether the connection was opened for a check only.
+func (c *nodeConn) ofCheck() bool { return c.node.checkConn == c }
+
+// evictedBefore defines the eviction order: those of checks come first, then connections to nodes without workloads,
+// then those with an older lastSent.
 func (c *nodeConn) evictedBefore(other *nodeConn) bool {
 	unused := len(c.node.workloads) == 0
 	otherUnused := len(other.node.workloads) == 0
 	switch {
+	case c.ofCheck() != other.ofCheck():
+		return c.ofCheck()
 	case unused != otherUnused:
 		return unused
 	case c.lastSent != other.lastSent:
--- a/internal/frontend/platform/nodeconns.go
+++ b/internal/frontend/platform/nodeconns.go
@@ -3,6 +3,8 @@
 import (
 	"errors"
 
+	"grebeglade/internal/frontend"
+	"grebeglade/internal/frontend/platform/codec"
 	"grebeglade/internal/transport"
 	"grebeglade/placement"
 )
@@ -22,6 +24,7 @@
 	errAddressChanged = errors.New("address of the node changed")
 	errAddressTaken   = errors.New("address of the node assigned to another node")
 	errNoDescription  = errors.New("confirmation without a description")
+	errMachineLost    = errors.New("machine of the node lost")
 )
 
 // maxNodeConns returns the maximum number of node connections, including those being dialed.
@@ -33,6 +36,8 @@
 type nodeEvents interface {
 	// offersLost is called when a connection is closed. Its offers without a reply may have been accepted.
 	offersLost(now placement.Millis, c *nodeConn)
+	// machineLost is called when a node's machine has been silent for so long that the workloads on it count as ended.
+	machineLost(now placement.Millis, n *node)
 	// processEnded is called when a node's process has ended, and with it all workloads on the node.
 	processEnded(now placement.Millis, n *node)
 }
@@ -100,10 +105,23 @@
 	n := c.node
 	c.state = connOpen
 	c.lastReceived = now
-	if n.conn != c {
+	nc.heard(now, n)
+	if n.watched {
+		nc.scheduleCheck(now, n)
+	}
+	switch c {
+	case n.conn:
+		nc.becameCurrent(c)
+	case n.checkConn:
+		nc.checkOpened(now, c)
+	default:
 		nc.disconnect(now, c, errReplaced)
-		return
 	}
+}
+
+// becameCurrent calls the waiters of a node whose current connection has come up, and sends the pending releases.
+func (nc *nodeConns) becameCurrent(c *nodeConn) {
+	n := c.node
 	nc.log.Debug("node connected", "node", n.name, "address", n.addr, "workloads", len(n.workloads))
 	n.dialing.opened()
 	n.notifyWaiters(c)
@@ -116,10 +134,12 @@
 	nc.closed(now, c, reason)
 }
 
-// disconnectNode closes a node's current connection, which may be open or being dialed, if there is one.
+// disconnectNode closes a node's current connection and that of a check, which may be open or being dialed.
 func (nc *nodeConns) disconnectNode(now placement.Millis, n *node, reason error) {
-	if n.conn != nil {
-		nc.disconnect(now, n.conn, reason)
+	for _, c := range []*nodeConn{n.conn, n.checkConn} {
+		if c != nil {
+			nc.disconnect(now, c, reason)
+		}
 	}
 }
 
@@ -144,13 +164,48 @@
 	}
 	delete(nc.conns, c.id)
 	c.state = connClosed
-	if n.conn == c {
+	nc.events.offersLost(now, c)
+	switch {
+	case n.checkConn == c:
+		n.checkConn = nil
+		if !wasOpen {
+			nc.checkFailed(now, n, reason)
+		}
+	case n.conn == c:
 		n.conn = nil
+		if !wasOpen {
+			n.failWaiters()
+			nc.dialFailed(now, n, reason)
+		}
 	}
-	nc.events.offersLost(now, c)
-	if !wasOpen {
-		n.failWaiters()
-		nc.dialFailed(now, n, reason)
+	if !wasOpen && transport.IsNoResponse(reason) {
+		nc.noResponse(now, n, c.dialedAt)
+	}
+	if n.watched {
+		nc.scheduleCheck(now, n)
 	}
 	nc.redial(now, n)
 }
+
+// connsOf returns the connections of a node in the order of their ids.
+func (nc *nodeConns) connsOf(n *node) (conns []*nodeConn) {
+	for _, c := range frontend.SortedValues(nc.conns) {
+		if c.node == n {
+			conns = append(conns, c)
+		}
+	}
+	return conns
+}
+
+// newConn dials a node and adds the connection to the table.
+func (nc *nodeConns) newConn(now placement.Millis, n *node, timeout placement.Millis) *nodeConn {
+	c := &nodeConn{
+		id:       nc.net.DialCodec(n.addr, codec.NodeCodec{}, timeout),
+		node:     n,
+		dialedAt: now,
+		lastSent: now,
+		offers:   map[placement.WorkloadID]*workload{},
+	}
+	nc.conns[c.id] = c
+	return c
+}
--- a/internal/frontend/platform/nodeconnuse.go
+++ b/internal/frontend/platform/nodeconnuse.go
@@ -45,14 +45,21 @@
 			return
 		}
 	}
+	nc.queueRelease(r.node, r.tag, r.unverified)
+	nc.connect(now, r.node)
+}
+
+// queueRelease has a release wait for the next connection to the node. Beyond maxPendingReleases it is dropped.
+func (nc *nodeConns) queueRelease(n *node, tag codec.Tag, unverified bool) {
 	limit := maxPendingReleases
-	if r.unverified {
+	if unverified {
 		limit = maxPendingUnverified
 	}
-	if len(r.node.pendingReleases) < limit {
-		r.node.pendingReleases = append(r.node.pendingReleases, r.tag)
+	if len(n.pendingReleases) >= limit {
+		nc.counters.DroppedReleases++
+		return
 	}
-	nc.connect(now, r.node)
+	n.pendingReleases = append(n.pendingReleases, tag)
 }
 
 // sendPendingReleases sends the releases that waited for a connection to the node.
--- a/internal/frontend/platform/nodedial.go
+++ b/internal/frontend/platform/nodedial.go
@@ -4,7 +4,6 @@
 	"errors"
 
 	"grebeglade/internal/frontend"
-	"grebeglade/internal/frontend/platform/codec"
 	"grebeglade/internal/transport"
 	"grebeglade/placement"
 )
@@ -43,14 +42,7 @@
 		nc.redial(now, n)
 		return
 	}
-	id := nc.net.DialCodec(n.addr, codec.NodeCodec{}, nc.connectTimeout)
-	n.conn = &nodeConn{
-		id:       id,
-		node:     n,
-		lastSent: now,
-		offers:   map[placement.WorkloadID]*workload{},
-	}
-	nc.conns[id] = n.conn
+	n.conn = nc.newConn(now, n, nc.connectTimeout)
 }
 
 // redial schedules a dial of a node after a backoff, unless a dial is already scheduled, the node is unreachable or no
--- /dev/null
+++ b/internal/frontend/platform/nodeliveness.go
@@ -0,0 +1,182 @@
+package platform
+
+import (
+	"errors"
+
+	"grebeglade/internal/frontend/platform/codec"
+	"grebeglade/internal/transport"
+	"grebeglade/placement"
+)
+
+const (
+	// checkConnTime, in ms, is how long the connection of a check stays open. A node sends releases that it could not
+	// send before on the next connection that is opened.
+	checkConnTime = placement.Millis(250)
+	// minCheckSpacing, in ms, is the minimum time between two checks of a node, also if dialing fails on this machine.
+	minCheckSpacing = placement.Millis(50)
+	// unusedCheckTag is the tag of a health check whose reply is of no interest.
+	unusedCheckTag = codec.Tag(0)
+)
+
+// errCheckDone is the reason for which the connection of a check is closed. It is only logged.
+var errCheckDone = errors.New("check completed")
+
+// watch begins to check that a node which runs workloads can be reached, unless it does already. The checks end with
+// the last workload.
+func (nc *nodeConns) watch(now placement.Millis, n *node) {
+	if n.watched {
+		return
+	}
+	n.watched = true
+	n.liveness.Heard(now)
+	nc.scheduleCheck(now, n)
+}
+
+// heard records a sign of life of a node.
+func (nc *nodeConns) heard(now placement.Millis, n *node) {
+	if n.silenceLogged {
+		n.silenceLogged = false
+		nc.log.Info("node responds again", "node", n.name, "silent_ms", int(now-n.liveness.HeardAt()))
+	}
+	n.liveness.Heard(now)
+}
+
+// scheduleCheck sets the timer of a watched node's next check. It replaces the one that was set before.
+func (nc *nodeConns) scheduleCheck(now placement.Millis, n *node) {
+	n.checkTimer++
+	number := n.checkTimer
+	nc.host.Schedule(max(n.liveness.NextCheck(), now+minCheckSpacing), func(now placement.Millis) {
+		if n.checkTimer == number && nc.nodes.contains(n) {
+			nc.checkIfDue(now, n)
+		}
+	})
+}
+
+// checkIfDue begins a check unless something was heard of the node since the timer was set, and sets the next timer. If
+// a dial is in progress, its end sets the timer.
+func (nc *nodeConns) checkIfDue(now placement.Millis, n *node) {
+	if !n.runsWorkloads() {
+		n.watched = false
+		return
+	}
+	if nc.dialInProgress(n) {
+		return
+	}
+	if n.liveness.NextCheck() <= now {
+		nc.check(now, n)
+	}
+	if !nc.dialInProgress(n) {
+		nc.scheduleCheck(now, n)
+	}
+}
+
+// dialInProgress reports whether a node is being dialed.
+func (nc *nodeConns) dialInProgress(n *node) bool {
+	return n.checkConn != nil || n.conn != nil && n.conn.state == connDialing
+}
+
+// check opens a connection to a node, beside its current one if there is one. Nodes that refuse connections are dialed
+// by redial, and unlisted ones have no address yet. Nobody answers for a node whose address another node has taken.
+func (nc *nodeConns) check(now placement.Millis, n *node) {
+	n.liveness.CheckBegun(now)
+	switch {
+	case nc.nodes.isUnlisted(n), n.dialing.refusals.ongoing:
+	case n.addr == "":
+		nc.noResponse(now, n, now)
+	case n.conn == nil && n.reachable():
+		nc.dial(now, n)
+	default:
+		nc.dialCheck(now, n)
+	}
+}
+
+// dialCheck dials a node for a check, if a connection can be evicted at the limit.
+func (nc *nodeConns) dialCheck(now placement.Millis, n *node) {
+	if len(nc.conns) >= nc.limit && !nc.evictConnection(now, n) {
+		return
+	}
+	nc.counters.LivenessChecks++
+	n.checkConn = nc.newConn(now, n, min(nc.connectTimeout, placement.LivenessCheckTimeout))
+}
+
+// checkOpened handles the connection of a check that has come up. It becomes the node's connection if there is no
+// other, and is closed after checkConnTime otherwise.
+func (nc *nodeConns) checkOpened(now placement.Millis, c *nodeConn) {
+	n := c.node
+	if n.openConn() == nil {
+		nc.useCheckConn(now, c)
+		return
+	}
+	nc.host.Schedule(now+checkConnTime, func(now placement.Millis) {
+		if n.checkConn == c {
+			nc.disconnect(now, c, errCheckDone)
+		}
+	})
+}
+
+// useCheckConn makes the connection of a check the node's connection, in place of one that is being dialed.
+func (nc *nodeConns) useCheckConn(now placement.Millis, c *nodeConn) {
+	n := c.node
+	dialing := n.conn
+	n.checkConn = nil
+	n.conn = c
+	nc.becameCurrent(c)
+	if dialing != nil {
+		nc.disconnect(now, dialing, errReplaced)
+	}
+}
+
+// checkFailed handles a dial for a check that has failed. A machine that refuses it can be reached; whether the node's
+// process has ended without a trace is seen on the connection that it had, which is reset in that case.
+func (nc *nodeConns) checkFailed(now placement.Millis, n *node, reason error) {
+	if !errors.Is(reason, transport.ErrConnectionRefused) {
+		return
+	}
+	nc.heard(now, n)
+	if c := n.openConn(); c != nil {
+		nc.net.Send(c.id, codec.NewHealthCheck(unusedCheckTag))
+	}
+}
+
+// noResponse handles a connection attempt that began at the given time and got no response. If the machine counts as
+// lost, its workloads have ended.
+func (nc *nodeConns) noResponse(now placement.Millis, n *node, begunAt placement.Millis) {
+	if !n.watched {
+		return
+	}
+	lost := n.liveness.NoResponse(begunAt)
+	if nc.anyArriving(n) {
+		nc.heard(now, n)
+		return
+	}
+	if !n.silenceLogged {
+		n.silenceLogged = true
+		nc.log.Info("node does not respond", "node", n.name, "address", n.addr, "workloads", len(n.workloads)+n.handovers,
+			"heard_ms_ago", int(now-n.liveness.HeardAt()))
+	}
+	if !lost {
+		return
+	}
+	nc.counters.SilentNodes++
+	nc.log.Warn("node lost, its workloads have ended", "node", n.name, "address", n.addr,
+		"workloads", len(n.workloads)+n.handovers, "heard_ms_ago", int(now-n.liveness.HeardAt()))
+	n.silenceLogged = false
+	nc.events.machineLost(now, n)
+}
+
+// anyArriving reports whether a message of a node is on its way on any connection.
+func (nc *nodeConns) anyArriving(n *node) bool {
+	for _, c := range nc.conns {
+		if c.node == n && c.isOpen() && nc.arriving(c.id) {
+			return true
+		}
+	}
+	return false
+}
+
+// disconnectAll closes all connections of a node.
+func (nc *nodeConns) disconnectAll(now placement.Millis, n *node, reason error) {
+	for _, c := range nc.connsOf(n) {
+		nc.disconnect(now, c, reason)
+	}
+}
--- a/internal/frontend/platform/nodes.go
+++ b/internal/frontend/platform/nodes.go
@@ -33,7 +33,13 @@
 	conn            *nodeConn    // connection for new offers, open or being dialed; nil if there is none
 	waiters         []connWaiter // waiters for conn to open
 	pendingReleases []codec.Tag  // releases that wait for conn to open
+	checkConn       *nodeConn    // connection of a check, open or being dialed; nil if there is none
 	dialing         dialHistory
+
+	liveness      placement.Liveness // valid if watched
+	watched       bool               // the node is checked while it runs workloads
+	checkTimer    uint64             // number of the timer of the next check; earlier ones have no effect
+	silenceLogged bool
 }
 
 // connWaiter waits for a connection to a node. Exactly one of its methods is called.
@@ -50,6 +56,19 @@
 	return !n.unused() || len(n.pendingReleases) > 0 || len(n.waiters) > 0
 }
 
+// runsWorkloads reports whether a workload runs on the node, or was handed over as running there.
+func (n *node) runsWorkloads() bool {
+	if n.handovers > 0 {
+		return true
+	}
+	for _, w := range n.workloads {
+		if w.running() {
+			return true
+		}
+	}
+	return false
+}
+
 // unused reports whether no workload is being bound to the node or runs on it.
 func (n *node) unused() bool { return len(n.workloads) == 0 && n.handovers == 0 }
 
--- a/internal/frontend/platform/replies.go
+++ b/internal/frontend/platform/replies.go
@@ -100,6 +100,7 @@
 	}
 	h.workloads.setReplyDescription(w, description)
 	w.confirm(now)
+	h.conns.watch(now, c.node)
 	h.host.Engine().BindConfirmed(now, w.id, w.bind.number, confirmation.Load)
 	return loadReported
 }
--- a/internal/frontend/platform/running.go
+++ b/internal/frontend/platform/running.go
@@ -21,13 +21,31 @@
 func (b *binder) adopt(now placement.Millis, w *workload, running placement.Workload, h handover) {
 	w.adopt(h.at, h.node)
 	b.host.Engine().Adopt(now, running, h.node.id)
+	b.conns.watch(now, h.node)
 	b.conns.connect(now, h.node)
 }
 
+// machineLost implements nodeEvents: it ends all workloads that ran on the node. They may still run if the machine is
+// cut off, so they are released once it can be reached again.
+func (b *binder) machineLost(now placement.Millis, n *node) {
+	for _, w := range frontend.SortedValues(n.workloads) {
+		if w.running() {
+			b.conns.queueRelease(n, w.tag, w.unverified())
+		}
+	}
+	for _, tag := range b.adoptions.handovers.on(n, justAfter(now)) {
+		b.conns.queueRelease(n, tag, true)
+	}
+	b.conns.disconnectAll(now, n, errMachineLost)
+	b.processEnded(now, n)
+}
+
+// justAfter returns a time such that workloads which began to run at the time now did so before it.
+func justAfter(now placement.Millis) placement.Millis { return now + 1 }
+
 // processEnded implements nodeEvents: it ends all workloads that ran on the node.
 func (b *binder) processEnded(now placement.Millis, n *node) {
-	justAfter := now + 1 // includes workloads that began to run at the time now
-	b.processRestarted(now, n, justAfter)
+	b.processRestarted(now, n, justAfter(now))
 }
 
 // processRestarted handles a start of a node's process at the given time: workloads that ran on the node before have
--- a/internal/transport/closereason.go
+++ b/internal/transport/closereason.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"io"
+	"net"
 	"syscall"
 )
 
@@ -44,6 +45,16 @@
 	return &closeError{class: ErrDialFailed, cause: err}
 }
 
+// IsNoResponse reports whether the reason is that of a dial to which the peer's machine has not responded. Other failed
+// dials say nothing about the peer's machine: it has refused the connection, or a system call has failed on this one.
+func IsNoResponse(reason error) bool {
+	if !errors.Is(reason, ErrDialFailed) {
+		return false
+	}
+	var timeout net.Error
+	return errors.Is(reason, syscall.EHOSTUNREACH) || errors.As(reason, &timeout) && timeout.Timeout()
+}
+
 // socketError classifies the error with which an event loop closed a connection. A nil error is an orderly close by the
 // peer.
 func socketError(err error) error {
--- a/internal/transport/closereason_test.go
+++ b/internal/transport/closereason_test.go
@@ -24,6 +24,20 @@
 	})
 }
 
+// Guards against taking a failure on this machine for the silence of another one.
+func TestIsNoResponse_OnlyWhereThePeerIsSilent(t *testing.T) {
+	for _, silent := range []error{context.DeadlineExceeded, syscall.ETIMEDOUT, syscall.EHOSTUNREACH} {
+		assert.True(t, IsNoResponse(dialError(fmt.Errorf("dial tcp: %w", silent))), silent)
+	}
+	for _, local := range []error{
+		syscall.ECONNREFUSED, syscall.EADDRNOTAVAIL, syscall.ENETUNREACH, syscall.ENOBUFS, syscall.EMFILE,
+		syscall.ENFILE, context.Canceled,
+	} {
+		assert.False(t, IsNoResponse(dialError(fmt.Errorf("dial tcp: %w", local))), local)
+	}
+	assert.False(t, IsNoResponse(socketError(os.NewSyscallError("read", syscall.ETIMEDOUT))))
+}
+
 func TestSocketError_Class(t *testing.T) {
 	t.Run("orderly close", func(t *testing.T) {
 		assertClass(t, socketError(nil), ErrClosedByPeer, "closed by the peer")
--- a/placement/constants.go
+++ b/placement/constants.go
@@ -131,6 +131,21 @@
 	minNodesPerEjection = 3
 )
 
+// Loss of machines that run workloads.
+const (
+	// livenessCheckInterval is the time without a sign of life after which a node that runs workloads is checked.
+	livenessCheckInterval = Millis(1000)
+	// LivenessCheckTimeout is the maximum time for the connection of a check to come up.
+	LivenessCheckTimeout = Millis(250)
+	// maxPartition is how long a node may be cut off without being lost.
+	maxPartition = Millis(6000)
+	// partitionMargin is the time from the end of a partition until connections come up again.
+	partitionMargin = Millis(50)
+	// lateFailuresUntilLost is the number of attempts that must fail after the end of maxPartition. It is above 1 since
+	// single connections to sound nodes do not come up.
+	lateFailuresUntilLost = 2
+)
+
 // Subscription to the node list, and maintenance.
 const (
 	// resubscribeAfter is the mean time without an event after which the subscription is renewed, unless
