Notify clients of ends on any connection with a valid request, and log what is dropped

Cause: only connections with placed workloads were chosen (clientConns.mostPlaced), although clients take what ends a workload on any connection. Besides, a notification was sent on a connection whose end had been read and was queued behind, and so was lost.

Change: a connection on which a valid request was received may be chosen, in the same order as before; connections that have ended are not. Dropped notifications are counted and logged, at most once in 10 s, when they expire instead of at the next message. The limit of log lines is a type of its own, which the warning about slow clients uses too.

TestClientConns_UndeliveredNotificationsExpireAndAreBounded checked the number of waiting notifications in the instant of their expiry; it now does so 10 ms before, and checks the new counter twice. Not mended: a notification whose connection is reset in the instant in which it is sent.

--- a/internal/frontend/platform/adoptions.go
+++ b/internal/frontend/platform/adoptions.go
@@ -57,6 +57,7 @@
 		a.net.Send(client.id, codec.NewTermination(request.Tag, codec.CauseNoCapacity))
 		return
 	}
+	client.requested = true
 	client.placed++
 	a.counters.Adopted++
 	added := handover{
--- a/internal/frontend/platform/clients.go
+++ b/internal/frontend/platform/clients.go
@@ -18,9 +18,6 @@
 	// firstMessageTimeout, in ms, is how long a connection may stay open before its first message begins to arrive. The
 	// platform expects a reply within 3 s.
 	firstMessageTimeout = placement.Millis(2000)
-	// slowClientLogInterval, in ms, is the minimum time between two warnings about clients that do not read, since
-	// clients could fill the log.
-	slowClientLogInterval = placement.Millis(10e3)
 )
 
 // maxClientConns returns the maximum number of client connections that are kept open.
@@ -31,6 +28,7 @@
 	id           transport.ConnID
 	active       bool                               // a message was received
 	arriving     bool                               // bytes were received and not handled, when evictConnection ran last
+	requested    bool                               // a valid request was received
 	placed       int                                // workloads placed or adopted for requests on this connection
 	confirmed    int                                // those of placed that a node has confirmed or reported on
 	lastReceived placement.Millis                   // time of the last message, or of opening if there is none
@@ -51,8 +49,8 @@
 	limit       int // maximum number of connections
 	undelivered []notification
 
-	slowLoggedAt placement.Millis // time of the last warning about a client that does not read
-	slowLogged   uint64           // Counters.SlowClients at that warning
+	slowLog    logLimit // of clients that do not read
+	droppedLog logLimit // of notifications that were not delivered
 }
 
 func newClientConns(env *environment) *clientConns {
@@ -61,7 +59,8 @@
 		conns:       map[transport.ConnID]*clientConn{},
 		limit:       env.config.maxClientConns(),
 
-		slowLoggedAt: placement.DistantPast,
+		slowLog:    newLogLimit(),
+		droppedLog: newLogLimit(),
 	}
 }
 
@@ -148,15 +147,12 @@
 	cs.closed(now, c)
 }
 
-// warnSlow logs that a client does not read, at most once per slowClientLogInterval.
+// warnSlow logs that a client does not read, at most once per minLogInterval.
 func (cs *clientConns) warnSlow(now placement.Millis, c *clientConn, reason error) {
-	if now-cs.slowLoggedAt < slowClientLogInterval {
-		return
+	if count, log := cs.slowLog.add(now, 1); log {
+		cs.log.Warn("client does not read, connection ended", "client", c.id, "unanswered", len(c.unanswered),
+			"clients", count, "reason", reason)
 	}
-	cs.log.Warn("client does not read, connection ended", "client", c.id, "unanswered", len(c.unanswered),
-		"clients", cs.counters.SlowClients-cs.slowLogged, "reason", reason)
-	cs.slowLoggedAt = now
-	cs.slowLogged = cs.counters.SlowClients
 }
 
 // closed removes a closed connection and withdraws its unanswered requests, which can no longer be answered.
--- a/internal/frontend/platform/clients_test.go
+++ b/internal/frontend/platform/clients_test.go
@@ -7,6 +7,7 @@
 	"testing"
 
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
 
 	"grebeglade/internal/frontend/platform/codec"
 	"grebeglade/internal/transport"
@@ -93,13 +94,30 @@
 	}
 	assert.Len(t, harness.clients.undelivered, maxUndelivered)
 	assert.Equal(t, codec.Tag(1), harness.clients.undelivered[0].message.Envelope().Tag, "the oldest is dropped")
-	harness.advance(undeliveredTTL)
+	assert.Equal(t, uint64(1), harness.Counters.DroppedNotifications)
+	harness.advance(undeliveredTTL - 10)
 	harness.openConn(otherConn)
 	harness.receive(otherConn, codec.NewTermination(1, codec.CauseNormal)) // unknown workload
 	assert.Len(t, harness.clients.undelivered, maxUndelivered, "a message without effect sends no notification")
+	harness.advance(10)
 	harness.receive(otherConn, codec.NewHealthCheck(1))
 	assert.Len(t, harness.network.sent[otherConn], 1, "only the health reply; the notifications have expired")
 	assert.Empty(t, harness.clients.undelivered)
+	assert.Equal(t, uint64(maxUndelivered+1), harness.Counters.DroppedNotifications, "none is dropped without a trace")
+}
+
+// Guards against a notification that waits, or is sent on a connection that has ended, while a connection is open on
+// which a request was rejected.
+func TestClientConns_OtherConnectionHasARejectedRequest_NotifiedThere(t *testing.T) {
+	harness := newHarness(t)
+	harness.startWorkload(7)
+	harness.openConn(otherConn)
+	harness.receive(otherConn, request(8, func(place *codec.PlaceRequest) { place.Task.Cores = 19.5 }))
+	require.Equal(t, []sentMessage{aTermination(codec.CauseNoCapacity)}, harness.sentAbout(otherConn, 8))
+	harness.network.closedByPeer[harness.clientConn] = true
+	harness.receive(harness.nodeConn, codec.NewTermination(7, codec.CauseNormal))
+	assert.Equal(t, []sentMessage{aTermination(codec.CauseNormal)}, harness.sentAbout(otherConn, 7))
+	assert.Equal(t, []sentMessage{aConfirmation}, harness.sentAbout(harness.clientConn, 7))
 }
 
 // Guards against many connections with one request each, which stay open: they must neither cause the eviction of a
@@ -174,7 +192,7 @@
 	assert.Zero(t, harness.workloads.unanswered.Count())
 	assert.Equal(t, 1, strings.Count(log.String(), "client does not read, connection ended"))
 	assert.Contains(t, log.String(), `unanswered=1 clients=1 reason="peer reads too slowly`)
-	harness.advance(slowClientLogInterval)
+	harness.advance(minLogInterval)
 	harness.openConn(otherConn)
 	harness.closeConn(otherConn, transport.ErrSlowPeer)
 	assert.Contains(t, log.String(), "unanswered=0 clients=100")
--- a/internal/frontend/platform/notifications.go
+++ b/internal/frontend/platform/notifications.go
@@ -42,50 +42,76 @@
 	cs.counters.Released++
 	cs.log.Debug("workload ended", "workload", end.tag, "client", end.client, "cause", uint8(cause))
 	if end.unverified && len(cs.undelivered) >= maxUndeliveredUnverified {
+		cs.dropped(1, "too many wait")
 		return
 	}
 	cs.notify(end.client, codec.NewTermination(end.tag, cause))
 }
 
 // notify sends a message about a workload on the connection of its request. If that is closed, it uses the last one in
-// eviction order of those with placed workloads, which is likely to stay open. If there is none, the message is queued;
-// beyond maxUndelivered, the oldest queued message is dropped.
+// eviction order of those on which a valid request was received: it is likely to stay open, and clients take
+// notifications on any connection. If there is none, the message is queued; beyond maxUndelivered, the oldest queued
+// message is dropped.
 func (cs *clientConns) notify(client transport.ConnID, m codec.Message) {
-	if cs.conns[client] != nil {
+	if c := cs.conns[client]; c != nil && !cs.net.IsClosed(client) {
 		cs.net.Send(client, m)
 		return
 	}
-	if c := cs.mostPlaced(); c != nil {
+	if c := cs.lastEvicted(); c != nil {
 		cs.net.Send(c.id, m)
 		return
 	}
 	if len(cs.undelivered) >= maxUndelivered {
 		cs.undelivered = cs.undelivered[1:]
+		cs.dropped(1, "too many wait")
 	}
+	cs.counters.QueuedNotifications++
 	cs.undelivered = append(cs.undelivered, notification{message: m, expiresAt: cs.host.Now() + undeliveredTTL})
 }
 
-// mostPlaced returns the last connection in eviction order among those with placed workloads, or nil.
-func (cs *clientConns) mostPlaced() *clientConn {
+// lastEvicted returns the last connection in eviction order among the open ones on which a valid request was received,
+// or nil.
+func (cs *clientConns) lastEvicted() *clientConn {
 	var last *clientConn
 	for _, c := range cs.conns {
-		if c.placed > 0 && (last == nil || last.evictedBefore(c)) {
+		if c.requested && !cs.net.IsClosed(c.id) && (last == nil || last.evictedBefore(c)) {
 			last = c
 		}
 	}
 	return last
 }
 
+// dropped counts and logs notifications that are not delivered. The log line comes at most once per minLogInterval.
+func (cs *clientConns) dropped(count int, reason string) {
+	if count == 0 {
+		return
+	}
+	cs.counters.DroppedNotifications += uint64(count)
+	if total, log := cs.droppedLog.add(cs.host.Now(), uint64(count)); log {
+		cs.log.Warn("notifications of clients dropped", "notifications", total, "waiting", len(cs.undelivered),
+			"clients", len(cs.conns), "reason", reason)
+	}
+}
+
+// dropExpired drops the queued notifications that have expired.
+func (cs *clientConns) dropExpired(now placement.Millis) {
+	expired := 0
+	for expired < len(cs.undelivered) && cs.undelivered[expired].expiresAt <= now {
+		expired++
+	}
+	cs.undelivered = cs.undelivered[expired:]
+	cs.dropped(expired, "no client connection in time")
+}
+
 // flushUndelivered sends the queued, unexpired notifications on the given connection and empties the queue. It does
 // nothing if the connection is closed.
 func (cs *clientConns) flushUndelivered(now placement.Millis, c *clientConn) {
-	if len(cs.undelivered) == 0 || cs.conns[c.id] != c {
+	if len(cs.undelivered) == 0 || cs.conns[c.id] != c || cs.net.IsClosed(c.id) {
 		return
 	}
+	cs.dropExpired(now)
 	for _, n := range cs.undelivered {
-		if now < n.expiresAt {
-			cs.net.Send(c.id, n.message)
-		}
+		cs.net.Send(c.id, n.message)
 	}
 	cs.undelivered = nil
 }
--- a/internal/frontend/platform/requests.go
+++ b/internal/frontend/platform/requests.go
@@ -89,6 +89,7 @@
 // place handles a request to place a workload.
 func (h *requestHandler) place(now placement.Millis, client *clientConn, request *codec.PlaceRequest) {
 	requested, err := h.engineWorkload(&request.Task)
+	client.requested = client.requested || err == nil
 	earlier := h.workloads.getByTag(request.Tag)
 	switch {
 	case err != nil:
--- a/internal/frontend/platform/wiring.go
+++ b/internal/frontend/platform/wiring.go
@@ -43,6 +43,7 @@
 func (f *Frontend) runPeriodic(now placement.Millis) {
 	f.nodeConns.closeIdle(now)
 	f.adoptions.endUnlisted(now)
+	f.clients.dropExpired(now)
 }
 
 // connectParts creates the parts that use the tables and the host, and sets the tables' references to those parts.
