Count the time of an unlisted node over all connections to the discovery service

What callers saw: a workload that was handed over on a node which the list does not contain ended 6 s after the last connection to the discovery service.

Cause: the 6 s began anew with each connection (subscription.connectedSince).

Change: the time in which the service was connected and kept to its comments is summed over all connections, and the node has 6 s of it.

Failed before: TestHandover_UnlistedNodeAndDiscoveryFlaps_ClientNotified (not within 8.05 s; now after 7.0 s). New: TestAdoptions_DiscoveryFlaps_OnlyConnectedTimeCounts, from both sides.

--- a/internal/frontend/platform/adoptions.go
+++ b/internal/frontend/platform/adoptions.go
@@ -9,8 +9,8 @@
 	"grebeglade/placement"
 )
 
-// unlistedTimeout, in ms, is how long after a handover a workload on a node that the endpoint list does not contain
-// counts as running, while the discovery service is connected. The list may be 4 s late.
+// unlistedTimeout, in ms, is how long the discovery service has to be connected after a handover, in all, until a
+// workload on a node that the endpoint list does not contain has ended. The list may be 4 s late.
 const unlistedTimeout = placement.Millis(6000)
 
 // maxUnlistedName is the maximum length in bytes of the name of a node that the endpoint list does not contain.
@@ -93,7 +93,7 @@
 			a.endNode(now, evicted)
 		}
 	}
-	return a.nodes.addUnlisted(now, name, client.id)
+	return a.nodes.addUnlisted(a.subscription.connectedTime(now), name, client.id)
 }
 
 // passToEngine adds the workload of a handover to the workload table and the engine.
@@ -198,15 +198,12 @@
 	return size.Cores - n.entry.FreeCores, size.Memory - n.entry.FreeMemory
 }
 
-// endUnlisted ends the workloads on nodes that the endpoint list has not contained for unlistedTimeout, although the
-// discovery service is connected.
+// endUnlisted ends the workloads on nodes that the endpoint list has not contained, although the discovery service was
+// connected for unlistedTimeout.
 func (a *adoptions) endUnlisted(now placement.Millis) {
-	since, connected := a.subscription.connectedSince()
-	if !connected || now-since < unlistedTimeout {
-		return
-	}
+	connected := a.subscription.connectedTime(now)
 	for _, n := range a.nodes.unlisted() {
-		if now-n.addedAt >= unlistedTimeout || n.unused() {
+		if connected-n.addedAt >= unlistedTimeout || n.unused() {
 			a.endNode(now, n)
 		}
 	}
--- a/internal/frontend/platform/adoptions_test.go
+++ b/internal/frontend/platform/adoptions_test.go
@@ -239,6 +239,28 @@
 	assert.Empty(t, harness.sentAbout(harness.clientConn, 7), "listed")
 }
 
+// Guards both sides of the time that an unlisted node has: silence of the discovery service does not count, and a new
+// connection to it does not begin the time anew.
+func TestAdoptions_DiscoveryFlaps_OnlyConnectedTimeCounts(t *testing.T) {
+	harness := newHarness(t)
+	harness.receive(harness.clientConn, adoptRequest(7, extraNodeName(0)))
+	reconnect := func() {
+		harness.closeConn(harness.discoveryConn(), errReset)
+		harness.advance(700)
+		harness.openConn(harness.discoveryConn())
+	}
+	for range 3 {
+		reconnect()
+		harness.advance(2000) // in which nothing arrives
+	}
+	assert.Empty(t, harness.sentAbout(harness.clientConn, 7))
+	for range 2 {
+		reconnect()
+		harness.keepDiscoveryAlive(2000)
+	}
+	assert.Equal(t, []sentMessage{aTermination(codec.CauseReset)}, harness.sentAbout(harness.clientConn, 7))
+}
+
 // Guards against clients that name nodes which do not exist, and against such a client that displaces the few that do.
 func TestAdoptions_ManyUnlistedNodes_Bounded(t *testing.T) {
 	harness := newHarness(t)
--- a/internal/frontend/platform/clients_test.go
+++ b/internal/frontend/platform/clients_test.go
@@ -112,7 +112,7 @@
 	harness := newHarness(t)
 	harness.startWorkload(7)
 	harness.openConn(otherConn)
-	harness.receive(otherConn, request(8, func(place *codec.PlaceRequest) { place.Task.Cores = 19.5 }))
+	harness.receive(otherConn, request(8, func(place *codec.PlaceRequest) { place.Cores = 19.5 }))
 	require.Equal(t, []sentMessage{aTermination(codec.CauseNoCapacity)}, harness.sentAbout(otherConn, 8))
 	harness.network.closedByPeer[harness.clientConn] = true
 	harness.receive(harness.nodeConn, codec.NewTermination(7, codec.CauseNormal))
--- a/internal/frontend/platform/nodes.go
+++ b/internal/frontend/platform/nodes.go
@@ -28,7 +28,7 @@
 	workloads map[placement.WorkloadID]*workload // workloads being bound to the node or running on it
 	handovers int                                // compact handovers of workloads on the node
 	addedBy   transport.ConnID                   // client connection of the handover that has named the unlisted node
-	addedAt   placement.Millis                   // time of that handover
+	addedAt   placement.Millis                   // subscription.connectedTime at that handover
 
 	conn            *nodeConn    // connection for new offers, open or being dialed; nil if there is none
 	waiters         []connWaiter // waiters for conn to open
@@ -149,7 +149,7 @@
 }
 
 // addUnlisted returns the node that a client has named in a handover, and records that it is unlisted. It adds the node
-// if it is new.
+// if it is new. The time is that of subscription.connectedTime.
 func (t *nodeTable) addUnlisted(now placement.Millis, name string, client transport.ConnID) *node {
 	n := t.intern(strings.Clone(name)) // a part of the client's message, which would be kept with it
 	n.addedBy = client
--- a/internal/frontend/platform/subscription.go
+++ b/internal/frontend/platform/subscription.go
@@ -14,6 +14,10 @@
 	// silenceTimeout, in ms, is how long nothing may be received before the connection is replaced. The discovery
 	// service sends a keep-alive comment each second.
 	silenceTimeout = placement.Millis(2500)
+	// keepAliveInterval, in ms, is the time between two comments of the discovery service.
+	keepAliveInterval = placement.Millis(1000)
+	// keepAliveMargin, in ms, is how much later a comment may arrive.
+	keepAliveMargin = placement.Millis(100)
 	// discoveryConnectTimeout, in ms, is the timeout for dialing the discovery service.
 	discoveryConnectTimeout = placement.Millis(500)
 	// readyDelay, in ms, is the time allowed for missed events to arrive after the discovery service's first message.
@@ -62,6 +66,7 @@
 	conn         transport.ConnID // invalid in subscriptionDown
 	revision     uint64           // revision of the last event that was applied or skipped
 	openedAt     placement.Millis // time when conn was opened; valid in subscriptionOpen
+	earlierTime  placement.Millis // connectedTime of earlier connections
 	lastReceived placement.Millis // time of the last message or part of one, or of dialing or opening
 	failures     int              // lost connections and failed dials since the last new event or change of address
 	malformed    int              // failed attempts to decode the next event
@@ -101,9 +106,13 @@
 	s.watchSilence(s.conn)
 }
 
-// connectedSince returns the time since which the discovery service is connected, and false if it is not.
-func (s *subscription) connectedSince() (since placement.Millis, connected bool) {
-	return s.openedAt, s.state == subscriptionOpen
+// connectedTime returns how long the discovery service has been connected in all, over all connections, in ms. Time in
+// which it should have sent a keep-alive comment and did not is not included.
+func (s *subscription) connectedTime(now placement.Millis) placement.Millis {
+	if s.state != subscriptionOpen {
+		return s.earlierTime
+	}
+	return s.earlierTime + min(now, s.lastReceived+keepAliveInterval+keepAliveMargin) - s.openedAt
 }
 
 // watchSilence reconnects when nothing was received on the connection for silenceTimeout. A part of an event counts:
@@ -129,11 +138,17 @@
 	s.log.Info("reconnecting to the discovery service", "address", s.addr, "reason", reason)
 	if s.state != subscriptionDown {
 		s.net.Close(s.conn)
-		s.state = subscriptionDown
+		s.down(now)
 	}
 	s.connect(now)
 }
 
+// down records that there is no connection.
+func (s *subscription) down(now placement.Millis) {
+	s.earlierTime = s.connectedTime(now)
+	s.state = subscriptionDown
+}
+
 // move continues the subscription at another address.
 func (s *subscription) move(now placement.Millis, addr string) {
 	s.addr = addr
@@ -143,7 +158,7 @@
 
 // closed handles the end of the connection or a failed dial: it dials again after a backoff.
 func (s *subscription) closed(now placement.Millis, reason error) {
-	s.state = subscriptionDown
+	s.down(now)
 	delay := s.host.RetryDelay(subscribeBackoff, s.failures)
 	s.failures++
 	s.log.Info("discovery service disconnected", "address", s.addr, "reason", reason)
