Answer a client's requests before its connection ends for an invalid message

What callers saw: ten requests are out on a connection, and a line on it cannot be read, or a further request is invalid: none of the ten gets an answer. A request that was read and then closed with no answer is lost.

Cause: the event loop closed a connection at once when something could not be decoded, and requestHandler.rejectInvalid closed it after the rejection; clientConns.closed then withdrew the unanswered requests.

After an invalid request the connection is served until its requests are answered. Where a request has the tag of an unanswered one, the earlier one is withdrawn, so that the rejection is the one answer to both.

--- a/internal/frontend/platform/clients.go
+++ b/internal/frontend/platform/clients.go
@@ -15,22 +15,28 @@
 	// extraClientConns is the number of connections that are accepted beyond that share, so that the frontend can
 	// choose which connection to evict.
 	extraClientConns = 8
-	// firstMessageTimeout, in ms, is how long a connection may stay open before its first message begins to arrive. The
-	// platform expects a reply within 3 s.
+	// firstMessageTimeout, in ms, is how long a connection may stay open before its first message begins to arrive.
 	firstMessageTimeout = placement.Millis(2000)
 )
 
 // maxClientConns returns the maximum number of client connections that are kept open.
 func (c *Config) maxClientConns() int { return int(float64(c.Limits.Sockets) * clientSocketShare) }
 
+// Reasons for which the connection of a client is closed, beside those of the transport. They are only logged.
+var (
+	errNoMessage = errors.New("no message within the time for the first one")
+)
+
 // clientConn is a client connection.
 type clientConn struct {
 	id           transport.ConnID
-	active       bool                               // a message was received
-	arriving     bool                               // bytes were received and not handled, when evictConnection ran last
-	requested    bool                               // a valid request was received
-	placed       int                                // workloads placed or adopted for requests on this connection
-	confirmed    int                                // those of placed that a node has confirmed or reported on
+	active       bool  // a message was received
+	endReason    error // why the connection ends once its requests are answered, or nil
+	arriving     bool  // bytes were received and not handled, when evictConnection ran last
+	requested    bool  // a valid request was received
+	placed       int   // workloads placed or adopted for requests on this connection
+	confirmed    int   // those of placed that a node has confirmed or reported on
+	openedAt     placement.Millis
 	lastReceived placement.Millis                   // time of the last message, or of opening if there is none
 	unanswered   map[placement.WorkloadID]*workload // requests on this connection without a final answer
 }
@@ -50,6 +56,7 @@
 	undelivered []notification
 
 	slowLog    logLimit // of clients that do not read
+	endLog     logLimit // of connections that were closed for what their client sent
 	droppedLog logLimit // of notifications that were not delivered
 }
 
@@ -60,6 +67,7 @@
 		limit:       env.config.maxClientConns(),
 
 		slowLog:    newLogLimit(),
+		endLog:     newLogLimit(),
 		droppedLog: newLogLimit(),
 	}
 }
@@ -71,6 +79,7 @@
 func (cs *clientConns) opened(now placement.Millis, id transport.ConnID) {
 	c := &clientConn{
 		id:           id,
+		openedAt:     now,
 		lastReceived: now,
 		unanswered:   map[placement.WorkloadID]*workload{},
 	}
@@ -92,11 +101,34 @@
 			cs.watchFirstMessage(now+messageTimeout, c)
 		default:
 			cs.counters.Invalid++
-			cs.disconnect(now, c)
+			cs.end(now, c, errNoMessage)
 		}
 	})
 }
 
+// endOnceAnswered closes a connection for the given reason once all of its requests are answered.
+func (cs *clientConns) endOnceAnswered(now placement.Millis, c *clientConn, reason error) {
+	c.endReason = reason
+	cs.endIfAnswered(now, c)
+}
+
+// endIfAnswered closes a connection that ends once its requests are answered, if they are.
+func (cs *clientConns) endIfAnswered(now placement.Millis, c *clientConn) {
+	if cs.conns[c.id] == c && c.endReason != nil && len(c.unanswered) == 0 {
+		cs.end(now, c, c.endReason)
+	}
+}
+
+// end closes a connection because of what its client did or did not send. The reason is logged, at most once per
+// minLogInterval.
+func (cs *clientConns) end(now placement.Millis, c *clientConn, reason error) {
+	if count, log := cs.endLog.add(now, 1); log {
+		cs.log.Info("client connection ended", "client", c.id, "connected_ms", int(now-c.openedAt), "clients", count,
+			"reason", reason)
+	}
+	cs.disconnect(now, c)
+}
+
 // evictConnection closes the first connection in eviction order, excluding latest and connections with unanswered
 // requests. If all others have unanswered requests, it closes latest. Eviction guards against clients that open
 // thousands of connections and keep them.
@@ -140,6 +172,9 @@
 // lost handles the end of a connection that this side has not closed, or that the transport has closed for the reason.
 func (cs *clientConns) lost(now placement.Millis, c *clientConn, reason error) {
 	cs.log.Debug("client disconnected", "client", c.id, "unanswered", len(c.unanswered), "reason", reason)
+	if errors.Is(reason, transport.ErrMalformedMessage) {
+		cs.counters.Invalid++
+	}
 	if errors.Is(reason, transport.ErrSlowPeer) {
 		cs.counters.SlowClients++
 		cs.warnSlow(now, c, reason)
--- a/internal/frontend/platform/clients_test.go
+++ b/internal/frontend/platform/clients_test.go
@@ -226,3 +226,40 @@
 		})
 	}
 }
+
+// Guards against requests without an answer on the connection of an invalid message, and against two answers to one.
+func TestClientConns_InvalidMessage_EndsOnceRequestsAreAnswered(t *testing.T) {
+	invalid := func(harness *testHarness, tag codec.Tag) {
+		harness.receive(harness.clientConn, &codec.Invalid{Header: codec.Header{Tag: tag}, Err: errUnknownClass})
+	}
+	t.Run("invalid request", func(t *testing.T) {
+		harness := newHarness(t)
+		harness.receive(harness.clientConn, request(7))
+		invalid(harness, 8)
+		assert.Equal(t, []sentMessage{aTermination(codec.CauseInvalid)}, harness.sentAbout(harness.clientConn, 8))
+		assert.False(t, harness.network.closed[harness.clientConn])
+		harness.receive(harness.nodeConn, confirmation(7))
+		assert.Equal(t, []sentMessage{aConfirmation}, harness.sentAbout(harness.clientConn, 7))
+		assert.True(t, harness.network.closed[harness.clientConn])
+	})
+	t.Run("input that cannot be decoded", func(t *testing.T) {
+		harness := newHarness(t)
+		assert.False(t, harness.KeepStalled(harness.clientConn), "nothing is unanswered")
+		harness.receive(harness.clientConn, request(7))
+		assert.True(t, harness.KeepStalled(harness.clientConn))
+		harness.receive(harness.nodeConn, confirmation(7))
+		assert.False(t, harness.KeepStalled(harness.clientConn))
+		assert.False(t, harness.KeepStalled(harness.nodeConn), "a node's connection is of no more use")
+	})
+	t.Run("tag in use", func(t *testing.T) {
+		harness := newHarness(t)
+		harness.receive(harness.clientConn, request(6))
+		harness.receive(harness.clientConn, request(7))
+		harness.receive(harness.clientConn, request(7))
+		harness.receive(harness.nodeConn, confirmation(7))
+		assert.Equal(t, []sentMessage{aTermination(codec.CauseInvalid)}, harness.sentAbout(harness.clientConn, 7))
+		harness.receive(harness.nodeConn, confirmation(6))
+		assert.Equal(t, []sentMessage{aConfirmation}, harness.sentAbout(harness.clientConn, 6))
+		assert.True(t, harness.network.closed[harness.clientConn])
+	})
+}
--- a/internal/frontend/platform/requests.go
+++ b/internal/frontend/platform/requests.go
@@ -78,18 +78,21 @@
 	return true
 }
 
-// rejectInvalid replies to an invalid message with CauseInvalid and closes its connection.
+// rejectInvalid replies to an invalid message with CauseInvalid and closes its connection, once the client's requests
+// on it are answered.
 func (h *requestHandler) rejectInvalid(now placement.Millis, client *clientConn, tag codec.Tag, err error) {
 	h.counters.Invalid++
 	h.log.Debug("invalid message from client", "workload", tag, "client", client.id, "error", err)
 	h.net.Send(client.id, codec.NewTermination(tag, codec.CauseInvalid))
-	h.clients.disconnect(now, client)
+	h.clients.endOnceAnswered(now, client, err)
 }
 
 // place handles a request to place a workload.
 func (h *requestHandler) place(now placement.Millis, client *clientConn, request *codec.PlaceRequest) {
 	requested, err := h.engineWorkload(&request.Task)
-	client.requested = client.requested || err == nil
+	if err == nil {
+		client.requested = true
+	}
 	earlier := h.workloads.getByTag(request.Tag)
 	switch {
 	case err != nil:
@@ -136,9 +139,11 @@
 }
 
 // rejectTagInUse rejects a request with the tag of an earlier workload. If the earlier request is unanswered on the
-// same connection, the client could not distinguish the two answers, so the connection is closed.
+// same connection, the client could not distinguish the two answers, so the rejection is that of both, and the
+// connection is closed.
 func (h *requestHandler) rejectTagInUse(now placement.Millis, client *clientConn, earlier *workload) {
 	if earlier.client == client.id && earlier.answer == frontend.AnswerDue {
+		h.withdraw(now, earlier)
 		h.rejectInvalid(now, client, earlier.tag, errTagInUse)
 		return
 	}
@@ -178,10 +183,19 @@
 	h.host.Engine().Withdraw(now, w.id)
 }
 
+// endIfAnswered closes a connection that ends once its requests are answered, if they are: after the answer that is
+// being sent.
+func (h *requestHandler) endIfAnswered(c *clientConn) {
+	if c.endReason != nil && len(c.unanswered) == 0 {
+		h.host.Defer(func(now placement.Millis) { h.clients.endIfAnswered(now, c) })
+	}
+}
+
 // markAnswered records that a request was answered or needs no answer.
 func (h *requestHandler) markAnswered(w *workload) {
 	if c := h.clients.get(w.client); c != nil {
 		delete(c.unanswered, w.id)
+		h.endIfAnswered(c)
 	}
 	h.workloads.markAnswered(w)
 }
--- a/internal/transport/closereason.go
+++ b/internal/transport/closereason.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"syscall"
@@ -27,6 +28,9 @@
 	ErrSlowPeer = errors.New("peer reads too slowly")
 )
 
+// errInputNotEnded is the reason for closing a connection that was kept after a message that could not be decoded.
+var errInputNotEnded = fmt.Errorf("%w: over %d bytes after it", ErrMalformedMessage, maxDiscarded)
+
 // closeError matches one of the classes above and its cause; its text is that of the cause.
 type closeError struct {
 	class error
--- a/internal/transport/handler.go
+++ b/internal/transport/handler.go
@@ -18,10 +18,12 @@
 }
 
 // StallHandler is implemented by a Handler or FrameHandler that keeps some connections open although their peer has
-// stopped in the middle of a message. Connections of other handlers are closed.
+// stopped in the middle of a message, or has sent something that cannot be decoded. Connections of other handlers are
+// closed.
 type StallHandler interface {
-	// KeepStalled reports whether a connection whose message does not keep arriving stays open, such as that of a client
-	// that waits for answers. It is called again after each further Limits.MessageTimeout.
+	// KeepStalled reports whether a connection whose message does not keep arriving, or whose input cannot be decoded,
+	// stays open, such as that of a client that waits for answers. It is called again after each further
+	// Limits.MessageTimeout. What follows input that cannot be decoded is discarded, up to maxDiscarded bytes.
 	KeepStalled(c ConnID) bool
 }
 
--- a/internal/transport/messagetimeout.go
+++ b/internal/transport/messagetimeout.go
@@ -27,6 +27,8 @@
 	number     atomic.Uint64 // number of the incomplete message, or zero if there is none; loaded by the worker
 	lastNumber uint64        // highest number assigned so far
 	buffered   int           // received bytes that the codec has not consumed
+	ended      bool          // something could not be decoded; what follows is discarded
+	discarded  int           // bytes received since then
 
 	// Valid while a message is incomplete.
 	begunAt  placement.Millis // time at which its first bytes were read
--- a/internal/transport/messagetimeout_test.go
+++ b/internal/transport/messagetimeout_test.go
@@ -224,6 +224,38 @@
 	require.ErrorIs(t, keeping.closeReasons(t, 1)[0], ErrMessageTimeout)
 }
 
+// Guards against requests that are not answered since something behind them on their connection cannot be decoded, and
+// against a connection for good whose peer goes on sending.
+func TestLoop_InputCannotBeDecoded_KeptWhileTheHandlerWantsTo(t *testing.T) {
+	limits := DefaultLimits
+	limits.MessageTimeout = 50
+	keeping := keepingHandler{&echoHandler{}, &atomic.Bool{}, make(chan ConnID)}
+	keeping.keep.Store(true)
+	_, addr := start(t, keeping, limits)
+	request, err := AppendFrame(nil, sampleRequest())
+	require.NoError(t, err)
+	malformed := []byte{0xff, 0xff, 0xff, 0xff}
+	peer := dial(t, addr)
+	_, err = peer.Write(slices.Concat(request, malformed, request))
+	require.NoError(t, err)
+	assertSampleAnswer(t, peer)
+	for range 3 {
+		keeping.waitAsked(t)
+	}
+	keeping.closeReasons(t, 0)
+	keeping.keep.Store(false)
+	require.ErrorIs(t, keeping.closeReasons(t, 1)[0], ErrMalformedMessage)
+	assert.Equal(t, 1, keeping.requests, "what follows is discarded")
+
+	keeping.keep.Store(true)
+	sender := dial(t, addr)
+	_, err = sender.Write(malformed)
+	for piece := make([]byte, 1<<20); err == nil; {
+		_, err = sender.Write(piece)
+	}
+	require.ErrorIs(t, keeping.closeReasons(t, 2)[1], errInputNotEnded)
+}
+
 // waitAsked waits until KeepStalled is called.
 func (k keepingHandler) waitAsked(t *testing.T) {
 	t.Helper()
--- a/internal/transport/queue.go
+++ b/internal/transport/queue.go
@@ -14,7 +14,7 @@
 	eventCall    eventKind = iota // function call that is due at a given time
 	eventOpened                   // connection established
 	eventMessage                  // message received
-	eventStalled                  // a message of the connection does not keep arriving
+	eventStalled                  // a message of the connection does not keep arriving, or its input cannot be decoded
 	eventClosed                   // connection ended, or dialing failed
 )
 
--- a/internal/transport/socketevents.go
+++ b/internal/transport/socketevents.go
@@ -45,6 +45,9 @@
 	if !ok {
 		return gnet.Close
 	}
+	if conn.inbound.ended {
+		return conn.discard()
+	}
 	unread, err := socket.Peek(-1)
 	if err != nil {
 		return gnet.None
@@ -63,7 +66,7 @@
 	}
 	if err != nil {
 		e.reportMalformed(conn, err)
-		return gnet.Close
+		return conn.discard()
 	}
 	arrived := conn.inbound.arrived(len(unread), used)
 	incomplete := used < len(unread) || assembling(conn.codec)
@@ -103,10 +106,9 @@
 	return messages, used, nil
 }
 
-// reportMalformed counts and logs a message that cannot be decoded, and records err as the close reason. The caller
-// closes the connection.
+// reportMalformed counts and logs a message that cannot be decoded, and ends the input of the connection.
 func (e *socketEvents) reportMalformed(conn *connection, err error) {
 	e.worker.loop.Stats.MalformedMessages.Add(1)
 	e.worker.loop.log.Warn("connection ended", "peer", conn.socket.RemoteAddr(), "reason", err)
-	conn.setCloseReason(&closeError{class: ErrMalformedMessage, cause: err})
+	conn.endInput(&closeError{class: ErrMalformedMessage, cause: err})
 }
