End a client's connection on which no message is accepted within 2.75 s of connecting

What callers saw: a client that sends just above the accepted rate without ever ending its line was still connected after 12 s, one whose first message begins late and pauses 9.0 s, one that begins late and stops 3.9 s, and one that sends only messages which nobody answers 12 s.

Cause: the limits for the begin, the credit for bytes, the pause and the stall each count from another event, and add up; a message without effect ended them all.

Change: beside them stands one total since connecting, until something was accepted: a request, a handover, a health check, or a termination of a known workload. Only the time that messages wait in our own queue is added.

Failed before: TestClient_FirstMessageDoesNotEnd_ConnectionEnds, TestClient_OnlyMessagesWithoutEffect_ConnectionEnds (now 2.75 s or less), TestClientConns_NothingAccepted_ConnectionEnds. The unknown termination that kept the client's connection in TestNodeConns_IdleConnection_ClosedBeforeTheNodeCloses is a health check now. TestClient_SlowButSound_Answered (12.6 KB in 1.5 s) passes before and after.

--- a/internal/frontend/platform/clients.go
+++ b/internal/frontend/platform/clients.go
@@ -17,6 +17,11 @@
 	extraClientConns = 8
 	// firstMessageTimeout, in ms, is how long a connection may stay open before its first message begins to arrive.
 	firstMessageTimeout = placement.Millis(2000)
+	// acceptTimeout, in ms, is how long a connection may stay open in all before a message on it is accepted, however
+	// its bytes arrive. The platform expects the connection of a client that sends nothing acceptable to end within 3 s.
+	acceptTimeout = placement.Millis(2750)
+	// queuedMessageInterval, in ms, is the time between two checks of whether messages of a client wait to be handled.
+	queuedMessageInterval = placement.Millis(50)
 )
 
 // maxClientConns returns the maximum number of client connections that are kept open.
@@ -24,13 +29,15 @@
 
 // Reasons for which the connection of a client is closed, beside those of the transport. They are only logged.
 var (
-	errNoMessage = errors.New("no message within the time for the first one")
+	errNoMessage       = errors.New("no message within the time for the first one")
+	errNothingAccepted = errors.New("no message accepted in time")
 )
 
 // clientConn is a client connection.
 type clientConn struct {
 	id           transport.ConnID
 	active       bool  // a message was received
+	accepted     bool  // a message had an effect or gets a reply
 	endReason    error // why the connection ends once its requests are answered, or nil
 	arriving     bool  // bytes were received and not handled, when evictConnection ran last
 	requested    bool  // a valid request was received
@@ -88,6 +95,7 @@
 		cs.evictConnection(now, c)
 	}
 	cs.watchFirstMessage(now+firstMessageTimeout, c)
+	cs.watchAccepted(now+acceptTimeout, c)
 }
 
 // watchFirstMessage closes a connection whose first message has not begun to arrive at the given time. If a part of the
@@ -106,6 +114,22 @@
 	})
 }
 
+// watchAccepted closes a connection on which no message was accepted until the given time. Unlike the limit for the
+// first message, it does not depend on what arrives: that limit and those of the transport may follow one another.
+// Only the time that messages wait in the queue is added.
+func (cs *clientConns) watchAccepted(at placement.Millis, c *clientConn) {
+	cs.host.ScheduleDeadline(at, func(now placement.Millis) {
+		switch {
+		case cs.conns[c.id] != c || c.accepted:
+		case transport.Queued(cs.net, c.id):
+			cs.watchAccepted(now+queuedMessageInterval, c)
+		default:
+			cs.counters.Invalid++
+			cs.end(now, c, errNothingAccepted)
+		}
+	})
+}
+
 // endOnceAnswered closes a connection for the given reason once all of its requests are answered.
 func (cs *clientConns) endOnceAnswered(now placement.Millis, c *clientConn, reason error) {
 	c.endReason = reason
--- a/internal/frontend/platform/requests.go
+++ b/internal/frontend/platform/requests.go
@@ -53,7 +53,9 @@
 		if !h.terminate(now, client, tag) {
 			return // no effect, hence no sign that the client expects notifications on this connection
 		}
+		client.accepted = true
 	case *codec.HealthCheck:
+		client.accepted = true
 		h.lifecycle.checkHealth(client.id, tag)
 	case *codec.HealthReply, *codec.Ignorable:
 	case *codec.Invalid:
@@ -92,6 +94,7 @@
 	requested, err := h.engineWorkload(&request.Task)
 	if err == nil {
 		client.requested = true
+		client.accepted = true
 	}
 	earlier := h.workloads.getByTag(request.Tag)
 	switch {
@@ -135,6 +138,7 @@
 		h.rejectInvalid(now, client, request.Tag, err)
 		return
 	}
+	client.accepted = true
 	h.adoptions.adopt(now, client, request, running)
 }
 
