Take no step of the wall clock for a restart of the nodes

What callers would see: the wall clock is stepped by more than 20 ms, and each node with a start time ends its workloads at its next entry of the list, though they run; a cold node counts as warm, or a warm one as cold, by the length of the step.

Cause: endpointList.startedAt turned the Unix time of a start into the frontend's clock anew for each entry, with the Unix time of that moment, and compared the results.

Change: the list's own times are compared, and a start is converted once. The wall clock is compared with the monotonic one since the first conversion; after a step, the conversion that does not lie in the future counts, and the later one where both are possible.

Failed before: TestEndpointList_WallClockStepped_NoRestart, for steps of 5 s and of an hour, both ways. By reading, nothing else of the platform's process reads the wall clock: deadlines, windows, waits and graces use transport.Loop.Now, which is monotonic. Not covered: a step shortly before the process starts, for nodes that started before it. Steps were injected into the conversion, not into a process: the clock of a single process cannot be stepped without rights.

--- a/internal/frontend/platform/adoptions_test.go
+++ b/internal/frontend/platform/adoptions_test.go
@@ -94,7 +94,7 @@
 	t.Run("its node restarts, client notified", func(t *testing.T) {
 		harness := newFloodedHarness(t)
 		harness.receive(harness.clientConn, adoptRequest(7, nodeName))
-		harness.publish(2, nodeEvent(2, "Ready", float64(harness.endpoints.unixTime()+1)))
+		harness.publish(2, nodeEvent(2, "Ready", float64(harness.endpoints.clock.unixTime()+1)))
 		assert.Equal(t, []sentMessage{aTermination(codec.CauseReset)}, harness.sentAbout(harness.clientConn, 7))
 		assert.Empty(t, harness.adoptions.handovers.byTag)
 	})
--- a/internal/frontend/platform/binder_test.go
+++ b/internal/frontend/platform/binder_test.go
@@ -24,7 +24,7 @@
 		},
 		"endpoint list has a later start time": func(harness *testHarness) {
 			harness.advance(100)
-			harness.publish(2, nodeEvent(2, "Ready", float64(harness.endpoints.unixTime())))
+			harness.publish(2, nodeEvent(2, "Ready", float64(harness.endpoints.clock.unixTime())))
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/internal/frontend/platform/endpoints.go
+++ b/internal/frontend/platform/endpoints.go
@@ -11,17 +11,16 @@
 	"grebeglade/placement"
 )
 
-// startTolerance, in ms, is the difference below which two calculated start times of a node are considered equal. They
-// differ because each calculation reads the clocks again.
+// startTolerance, in ms, is the difference below which two start times of a node are considered equal.
 const startTolerance = placement.Millis(20)
 
 // endpointList applies the discovery service's events to the engine, the node table and the node connections.
 type endpointList struct {
 	*environment
-	nodes    *nodeTable
-	conns    *nodeConns
-	binder   *binder
-	unixTime func() placement.Millis // current Unix time in ms, the time base of Endpoint.StartedAt
+	nodes  *nodeTable
+	conns  *nodeConns
+	binder *binder
+	clock  *wallClock
 }
 
 // apply implements eventHandler. Events that are not about nodes are ignored.
@@ -74,7 +73,7 @@
 		ID:         current.id,
 		State:      endpoint.State,
 		Cell:       placement.CellID(endpoint.Cell),
-		StartedAt:  l.startedAt(now, endpoint, current.entry.StartedAt),
+		StartedAt:  l.startedAt(now, endpoint, current),
 		Kind:       placement.KindID(slices.Index(l.config.Settings.KindNames, endpoint.Kind)),
 		Zone:       placement.ZoneID(slices.Index(l.config.Settings.ZoneNames, endpoint.Zone)),
 		FreeCores:  endpoint.FreeCores,
@@ -82,20 +81,17 @@
 	}
 }
 
-// startedAt returns the start time of a node's process on the clock of now, or DistantPast if the endpoint has none. If
-// the time differs from the last calculated one by less than startTolerance, startedAt returns the last one, so that
-// the node does not appear to have restarted.
-func (l *endpointList) startedAt(
-	now placement.Millis, endpoint *codec.Endpoint, last placement.Millis,
-) placement.Millis {
+// startedAt returns the start time of a node's process on the clock of now, or DistantPast if the endpoint has none.
+// The result changes only if the list's own time has changed, so that a step of the wall clock is no restart.
+func (l *endpointList) startedAt(now placement.Millis, endpoint *codec.Endpoint, current *node) placement.Millis {
+	if max(endpoint.StartedAt-current.listedStart, current.listedStart-endpoint.StartedAt) < startTolerance {
+		return current.entry.StartedAt
+	}
+	current.listedStart = endpoint.StartedAt
 	if endpoint.StartedAt <= 0 {
 		return placement.DistantPast
 	}
-	started := now + endpoint.StartedAt - l.unixTime()
-	if max(last-started, started-last) < startTolerance {
-		return last
-	}
-	return started
+	return l.clock.convert(now, endpoint.StartedAt)
 }
 
 // update applies a new entry to a node and its connection.
--- a/internal/frontend/platform/endpoints_test.go
+++ b/internal/frontend/platform/endpoints_test.go
@@ -57,7 +57,7 @@
 // must not be treated as a restart, which would end the node's workloads.
 func TestEndpointList_SameStartReadTwice_NoRestart(t *testing.T) {
 	harness := newHarness(t)
-	startedAt := float64(harness.endpoints.unixTime())
+	startedAt := float64(harness.endpoints.clock.unixTime())
 	harness.publish(2, nodeEvent(2, "Ready", startedAt))
 	harness.startWorkload(7)
 	harness.advance(100)
@@ -68,6 +68,42 @@
 		harness.sentAbout(harness.clientConn, 7))
 }
 
+// Guards against a step of the wall clock that looks like a restart of each node, which would end its workloads.
+func TestEndpointList_WallClockStepped_NoRestart(t *testing.T) {
+	for _, step := range []placement.Millis{-3600e3, -5e3, 5e3, 3600e3} {
+		harness := newHarness(t)
+		startedAt := float64(harness.endpoints.clock.unixTime())
+		harness.publish(2, nodeEvent(2, "Ready", startedAt))
+		harness.startWorkload(7)
+		before := harness.nodes.byName[nodeName].entry.StartedAt
+		harness.endpoints.clock.unixTime = func() placement.Millis { return 1e9 + harness.now + step }
+		harness.advance(100)
+		harness.publish(3, nodeEvent(3, "Ready", startedAt))
+		assert.Equal(t, []sentMessage{aConfirmation}, harness.sentAbout(harness.clientConn, 7), step)
+		assert.InDelta(t, float64(before), float64(harness.nodes.byName[nodeName].entry.StartedAt), 0.1, step)
+		harness.publish(4, nodeEvent(4, "Ready", float64(harness.endpoints.clock.unixTime())))
+		assert.Equal(t, []sentMessage{aConfirmation, aTermination(codec.CauseReset)},
+			harness.sentAbout(harness.clientConn, 7), "a restart after the step")
+	}
+}
+
+// Guards against a cold node that counts as warm, or a warm one that counts as cold, after a step of the wall clock.
+func TestWallClock_Stepped_StartsConverted(t *testing.T) {
+	const now, age = placement.Millis(100e3), placement.Millis(3e3)
+	for _, step := range []placement.Millis{-3600e3, -5e3, 5e3, 3600e3} {
+		unix := placement.Millis(1e12)
+		clock := &wallClock{unixTime: func() placement.Millis { return unix }}
+		clock.convert(0, unix)
+		unix += now + step
+		startedBeforeStep := unix - step - age
+		startedAfterStep := unix - age
+		for _, started := range []placement.Millis{startedBeforeStep, startedAfterStep} {
+			converted := clock.convert(now, started)
+			assert.InDelta(t, float64(now-age), float64(converted), 0.1, "step of %v, start %v", step, started)
+		}
+	}
+}
+
 // An event may remove a node and add it again. The first entry removes the node from the table, so the second one must
 // create a new node rather than crash.
 func TestEndpointList_TwoEntriesForOneNode_LastEntryApplies(t *testing.T) {
@@ -96,7 +132,7 @@
 	assert.Empty(t, harness.sentAbout(harness.clientConn, 7), "the list does not contain the node yet")
 	harness.publish(3, deltaEvent(fmt.Sprintf(
 		`{"name":%q,"address":%q,"zone":"z","type":"small","status":"Ready","since_ms":%f,"room":[20,40]}`,
-		extraNodeName(0), extraNodeAddr(0), float64(harness.endpoints.unixTime()))))
+		extraNodeName(0), extraNodeAddr(0), float64(harness.endpoints.clock.unixTime()))))
 	assert.Empty(t, harness.sentAbout(harness.clientConn, 7))
 	assert.NotZero(t, harness.network.lastDialed(extraNodeAddr(0)))
 }
--- a/internal/frontend/platform/frontend.go
+++ b/internal/frontend/platform/frontend.go
@@ -21,7 +21,6 @@
 import (
 	"errors"
 	"log/slog"
-	"time"
 
 	"grebeglade/internal/frontend"
 	"grebeglade/internal/frontend/platform/codec"
@@ -110,9 +109,6 @@
 	lifecycle    *lifecycle
 }
 
-// unixTime returns the current Unix time in ms.
-func unixTime() placement.Millis { return placement.Millis(float64(time.Now().UnixNano()) / 1e6) }
-
 // Limits returns the limits that the transport has to apply to the frontend's connections.
 func (f *Frontend) Limits() transport.Limits {
 	return transport.Limits{
--- a/internal/frontend/platform/harness_test.go
+++ b/internal/frontend/platform/harness_test.go
@@ -45,7 +45,7 @@
 		network:    newFakeNetwork(),
 		clientConn: firstClient,
 	}
-	harness.endpoints.unixTime = func() placement.Millis { return 1e9 + harness.now }
+	harness.endpoints.clock.unixTime = func() placement.Millis { return 1e9 + harness.now }
 	harness.Start(0, harness.network)
 	harness.nodeConns.await(harness.nodes.byName[nodeName], noopWaiter{})
 	harness.nodeConn = harness.network.lastDialed(nodeAddr)
--- a/internal/frontend/platform/nodes.go
+++ b/internal/frontend/platform/nodes.go
@@ -20,15 +20,17 @@
 
 // node is a node from the endpoint list, or from a client's request to adopt a workload.
 type node struct {
-	id        placement.NodeID
-	name      string
-	addr      string                             // empty if there is none, or if another node has taken it over
-	entry     placement.Node                     // last entry of the endpoint list; in state Removed if there is none
-	listed    bool                               // an endpoint list has contained the node
-	workloads map[placement.WorkloadID]*workload // workloads being bound to the node or running on it
-	handovers int                                // compact handovers of workloads on the node
-	addedBy   transport.ConnID                   // client connection of the handover that has named the unlisted node
-	addedAt   placement.Millis                   // subscription.connectedTime at that handover
+	id     placement.NodeID
+	name   string
+	addr   string         // empty if there is none, or if another node has taken it over
+	entry  placement.Node // last entry of the endpoint list; in state Removed if there is none
+	listed bool           // an endpoint list has contained the node
+	// listedStart is the start time of the node's process in the last entry, in Unix time in ms, or 0.
+	listedStart placement.Millis
+	workloads   map[placement.WorkloadID]*workload // workloads being bound to the node or running on it
+	handovers   int                                // compact handovers of workloads on the node
+	addedBy     transport.ConnID                   // client connection of the handover that has named the unlisted node
+	addedAt     placement.Millis                   // subscription.connectedTime at that handover
 
 	conn            *nodeConn    // connection for new offers, open or being dialed; nil if there is none
 	waiters         []connWaiter // waiters for conn to open
--- a/internal/frontend/platform/wiring.go
+++ b/internal/frontend/platform/wiring.go
@@ -56,7 +56,7 @@
 		nodes:       f.nodes,
 		conns:       f.nodeConns,
 		binder:      f.binder,
-		unixTime:    unixTime,
+		clock:       newWallClock(),
 	}
 	f.subscription = newSubscription(env, f.endpoints, f.lifecycle)
 	f.adoptions.subscription = f.subscription
