Test the platform's allocator while system calls fail

Change: tests only. A filter of the kernel asks the test for each accept4, socket, connect, epoll_pwait, read, write and writev of the allocator's process, without rights, and the test lets some fail, drawn from a seed: accept, socket and connect with the errors that Linux documents for them, waits with EINTR, reads and writes of sockets with ETIMEDOUT, EHOSTUNREACH, ECONNRESET, EPIPE, EINTR and EAGAIN.

Not injected: short reads and writes, which the tests of pieces and of clients that do not read bring about; epoll_wait on amd64.

--- a/internal/endtoend/allocator_test.go
+++ b/internal/endtoend/allocator_test.go
@@ -63,8 +63,9 @@
 }
 
 // startAllocator starts a process that knows the events of the discovery service, and waits until it is ready. The
-// process is killed at the end of the test, and its log printed if the test has failed.
-func startAllocator(t *testing.T, d *discovery) *allocator {
+// process is killed at the end of the test, and its log printed if the test has failed. At most one injector of faults
+// may be given.
+func startAllocator(t *testing.T, d *discovery, faults ...*faultInjector) *allocator {
 	t.Helper()
 	free, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
@@ -75,6 +76,9 @@
 	a.process.Env = append(os.Environ(), runAsProgram+"=platform", "NODE_CONFIG="+a.file, "NODE_LISTEN="+a.addr)
 	a.process.Stderr = &a.log
 	a.process.SysProcAttr = &syscall.SysProcAttr{Setpgid: true}
+	for _, f := range faults {
+		f.prepare(t, a.process)
+	}
 	require.NoError(t, a.process.Start())
 	t.Cleanup(func() {
 		_ = a.process.Process.Kill() // fails only if the process has ended
--- a/internal/endtoend/doc_test.go
+++ b/internal/endtoend/doc_test.go
@@ -4,6 +4,7 @@
 package endtoend_test
 
 import (
+	"fmt"
 	"os"
 	"strings"
 	"testing"
@@ -25,6 +26,10 @@
 const runAsProgram = "GREBEGLADE_ENDTOEND_COMMAND"
 
 func TestMain(m *testing.M) {
+	if calls := os.Getenv(injectFaults); calls != "" {
+		fmt.Fprintln(os.Stderr, runFiltered(calls))
+		os.Exit(1)
+	}
 	if line := os.Getenv(runAsProgram); line != "" {
 		os.Exit(command.Run(strings.Fields(line), os.Stdout, os.Stderr))
 	}
