Close each connection as soon as its last answer is written when a process ends

What callers saw: after SIGTERM clients went on sending on open connections; one of them did not read. From 0.75 s after the signal until 2 s later their requests were read by the machine and got no answer, and then the connections were closed: about 200 requests on each of eight connections.

Cause: Loop.Close stops the handlers, and then waited up to 2 s until the bytes of all connections were written, before it closed any.

Change: connTable.drain closes each connection once its own bytes are written. What is sent in that instant crosses the end of the connection and is sent again by its client. A connection that comes up after the queue was closed is closed at once.

Each shutdown of `serve` and `platform` goes this way. Tried and given up: to let the handlers go on while waiting, which left a peer that begins to read late too little time (TestLoop_AnswerInTheWriteBufferIsSentBeforeClose under the race detector).

--- a/internal/endtoend/client_test.go
+++ b/internal/endtoend/client_test.go
@@ -60,12 +60,19 @@
 
 // connect opens a connection, which is closed at the end of the test.
 func (cs *clients) connect(t *testing.T) *client {
+	t.Helper()
+	c := cs.connectWithoutReading(t)
+	go c.read()
+	return c
+}
+
+// connectWithoutReading is connect for a client that does not read what is sent to it.
+func (cs *clients) connectWithoutReading(t *testing.T) *client {
 	t.Helper()
 	conn, err := net.DialTimeout("tcp", cs.addr, 5*time.Second)
 	require.NoError(t, err)
 	c := &client{Conn: conn, all: cs, ended: make(chan struct{})}
 	t.Cleanup(func() { _ = conn.Close() }) // the allocator may have closed it
-	go c.read()
 	return c
 }
 
@@ -75,6 +82,7 @@
 		close(c.ended)
 	}()
 	scanner := bufio.NewScanner(c)
+	scanner.Buffer(nil, 2*codec.MaxMessageSize)
 	for scanner.Scan() {
 		received := line{at: time.Now()}
 		if err := json.Unmarshal(scanner.Bytes(), &received); err != nil {
--- a/internal/endtoend/node_test.go
+++ b/internal/endtoend/node_test.go
@@ -19,6 +19,8 @@
 	listener  *net.TCPListener
 	startTime time.Duration
 
+	description string // description in confirmations
+
 	mu       sync.Mutex
 	conns    map[*nodeConn]bool
 	tasks    map[codec.Tag]*task
@@ -55,8 +57,10 @@
 			name:      fmt.Sprintf("s-%08x", i+1),
 			listener:  listener.(*net.TCPListener),
 			startTime: 20 * time.Millisecond,
-			conns:     map[*nodeConn]bool{},
-			tasks:     map[codec.Tag]*task{},
+
+			description: "runs",
+			conns:       map[*nodeConn]bool{},
+			tasks:       map[codec.Tag]*task{},
 		}
 		t.Cleanup(func() { _ = listener.Close() }) // the end of the test ignores what is not accepted
 		n.accepted = make(chan struct{})
@@ -206,7 +210,7 @@
 	}
 	offered.running = true
 	n.mu.Unlock()
-	c.send(codec.NewConfirmation(tag, "runs at "+n.name))
+	c.send(codec.NewConfirmation(tag, n.description))
 }
 
 // end ends a running task. Its release goes on the connection of its offer or, failing that, on any open one, and on
--- a/internal/transport/conntable.go
+++ b/internal/transport/conntable.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"time"
 )
 
@@ -43,11 +45,24 @@
 	t.unflushed = t.unflushed[:0]
 }
 
-// drain waits until all flushed bytes are written to the sockets, or ctx ends. The worker must have stopped.
+// drain closes the open connections, each once all bytes that were flushed are written to its socket, until ctx ends.
+// A peer that does not read does not hold the others up: what they send would get no answer. The worker must have
+// stopped.
 func (t *connTable) drain(ctx context.Context) {
-	for _, c := range t.byID {
-		for c.state == stateOpen && c.buffered(ctx) > 0 {
-			time.Sleep(drainPollInterval)
+	open := slices.DeleteFunc(slices.Collect(maps.Values(t.byID)), func(c *connection) bool {
+		return c.state != stateOpen
+	})
+	for ctx.Err() == nil {
+		open = slices.DeleteFunc(open, func(c *connection) bool {
+			written := c.buffered(ctx) == 0
+			if written {
+				c.closeSocket()
+			}
+			return written
+		})
+		if len(open) == 0 {
+			return
 		}
+		time.Sleep(drainPollInterval)
 	}
 }
--- a/internal/transport/loop.go
+++ b/internal/transport/loop.go
@@ -148,8 +148,8 @@
 	return l.workers[h]
 }
 
-// Close stops all handlers and closes all connections. Workers first handle the events that are already queued. The
-// event loops stop once all sent messages are written, so that the last answers are not lost, or after drainTimeout.
+// Close stops all handlers and closes all connections. Workers first handle the events that are already queued. Each
+// connection is closed once all sent messages are written, so that no last answer is lost, or after drainTimeout.
 func (l *Loop) Close() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/transport/socketevents.go
+++ b/internal/transport/socketevents.go
@@ -14,6 +14,9 @@
 	if !ok {
 		return nil, gnet.Close
 	}
+	if e.worker.queue.isClosed() {
+		return nil, gnet.Close // nobody would handle what the peer sends
+	}
 	c.socket = socket
 	e.worker.loops.backlog(c.class).opened(c)
 	e.worker.queue.push(event{kind: eventOpened, conn: c})
