Evict a client whose request waits to be handled after all others

What callers would see: at the limit of connections, while the allocator is busy, a client that has sent its request on a new connection is closed without an answer, although connections are open on which nothing waits.

Cause: connections that had sent no message yet were evicted before any other, also where their first message had been read and was queued; an active one with a queued request was evicted before an idle one with workloads.

Change: a connection on which messages wait to be handled comes last in the order.

Failed before: TestClientConns_RequestWaitsToBeHandled_EvictedLast, for a new connection and for an active one. Found by reading, while the ends of connections were gone through; not shown on sockets.

--- a/internal/frontend/platform/clients.go
+++ b/internal/frontend/platform/clients.go
@@ -39,6 +39,7 @@
 	active       bool  // a message was received
 	accepted     bool  // a message had an effect or gets a reply
 	endReason    error // why the connection ends once its requests are answered, or nil
+	queued       bool  // messages waited to be handled when evictConnection ran last
 	arriving     bool  // bytes were received and not handled, when evictConnection ran last
 	requested    bool  // a valid request was received
 	placed       int   // workloads placed or adopted for requests on this connection
@@ -158,6 +159,7 @@
 // thousands of connections and keep them.
 func (cs *clientConns) evictConnection(now placement.Millis, latest *clientConn) {
 	for _, c := range cs.conns {
+		c.queued = transport.Queued(cs.net, c.id)
 		c.arriving = cs.arriving(c.id)
 	}
 	first, found := firstEvicted(cs.conns, func(c *clientConn) bool { return c != latest && len(c.unanswered) == 0 })
@@ -167,12 +169,15 @@
 	cs.disconnect(now, first)
 }
 
-// evictedBefore defines the eviction order: connections without any message come first, then those with fewer confirmed
-// workloads, then those with fewer placed ones, then those on which no message is on its way, then those with an older
-// last message. Confirmed workloads have precedence because a client can hand over any number of workloads that do not
-// exist.
+// evictedBefore defines the eviction order: connections on which messages wait to be handled come last, since those may
+// be requests, which would get no answer. Of the others, those without any message come first, then those with fewer
+// confirmed workloads, then those with fewer placed ones, then those on which no message is on its way, then those with
+// an older last message. Confirmed workloads have precedence because a client can hand over any number of workloads
+// that do not exist.
 func (c *clientConn) evictedBefore(other *clientConn) bool {
 	switch {
+	case c.queued != other.queued:
+		return other.queued
 	case c.active != other.active:
 		return other.active
 	case c.confirmed != other.confirmed:
--- a/internal/frontend/platform/clients_test.go
+++ b/internal/frontend/platform/clients_test.go
@@ -67,6 +67,24 @@
 	}
 }
 
+// Guards against a request that was read and is closed with no answer: while it waits to be handled, its connection is
+// evicted after those on which nothing waits, also after those of running workloads.
+func TestClientConns_RequestWaitsToBeHandled_EvictedLast(t *testing.T) {
+	for _, active := range []bool{false, true} {
+		harness := newHarness(t)
+		harness.startWorkload(7)
+		harness.clients.limit = 2
+		harness.openConn(otherConn)
+		if active {
+			harness.receive(otherConn, codec.NewHealthCheck(1))
+		}
+		harness.network.queued[otherConn] = true
+		harness.openConn(otherConn + 1)
+		assert.False(t, harness.network.closed[otherConn])
+		assert.True(t, harness.network.closed[harness.clientConn])
+	}
+}
+
 func TestClientConns_AllOthersHaveRequests_LatestIsEvicted(t *testing.T) {
 	harness := newHarness(t)
 	harness.clients.limit = 1
