Remove a node from the tables once its last bind has ended

What callers would see: memory and a connection that stay for each node that the list removed while a bind to it was out.

Cause: removeNode was called in the instant of the removal only, when the node was still in use.

Failed before: TestNodeTable_RemovedWhileABindIsOut_LeavesTheTable in its three cases.

--- a/internal/frontend/platform/nodeconns.go
+++ b/internal/frontend/platform/nodeconns.go
@@ -153,6 +153,13 @@
 	n.failWaiters()
 }
 
+// removeUnused removes the removed nodes whose last bind has ended.
+func (nc *nodeConns) removeUnused(now placement.Millis) {
+	for _, n := range nc.nodes.removables() {
+		nc.removeNode(now, n)
+	}
+}
+
 // closed handles the end of a connection or a failed dial.
 func (nc *nodeConns) closed(now placement.Millis, c *nodeConn, reason error) {
 	n := c.node
--- a/internal/frontend/platform/nodes.go
+++ b/internal/frontend/platform/nodes.go
@@ -180,7 +180,7 @@
 	for n := range t.added {
 		nodes = append(nodes, n)
 	}
-	slices.SortFunc(nodes, func(x, y *node) int { return cmp.Compare(x.id, y.id) })
+	sortByID(nodes)
 	return nodes
 }
 
@@ -226,6 +226,22 @@
 	return n.entry.State == placement.Removed && n.unused() && t.contains(n)
 }
 
+// removables returns the nodes that can be removed, in the order of their ids.
+func (t *nodeTable) removables() (nodes []*node) {
+	for _, n := range t.byID {
+		if t.removable(n) {
+			nodes = append(nodes, n)
+		}
+	}
+	sortByID(nodes)
+	return nodes
+}
+
+// sortByID sorts nodes by their ids.
+func sortByID(nodes []*node) {
+	slices.SortFunc(nodes, func(x, y *node) int { return cmp.Compare(x.id, y.id) })
+}
+
 // remove removes a node from the table, and its address unless another node has taken it over.
 func (t *nodeTable) remove(n *node) {
 	delete(t.byID, n.id)
--- a/internal/frontend/platform/nodes_test.go
+++ b/internal/frontend/platform/nodes_test.go
@@ -77,3 +77,30 @@
 	table.assignAddr(n, "a")
 	assert.True(t, table.releasesPending())
 }
+
+// Guards against entries for good of nodes that were removed while a bind was out, and with them their connections.
+func TestNodeTable_RemovedWhileABindIsOut_LeavesTheTable(t *testing.T) {
+	for name, end := range map[string]func(harness *testHarness){
+		"rejected": func(harness *testHarness) {
+			harness.receive(harness.nodeConn, codec.NewTermination(7, codec.CauseNoCapacity))
+		},
+		"withdrawn": func(harness *testHarness) {
+			harness.receive(harness.clientConn, codec.NewTermination(7, codec.CauseNormal))
+		},
+		"ended": func(harness *testHarness) {
+			harness.receive(harness.nodeConn, confirmation(7))
+			harness.receive(harness.nodeConn, codec.NewTermination(7, codec.CauseNormal))
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			harness := newHarness(t)
+			harness.receive(harness.clientConn, request(7))
+			harness.publishNode(2, "Gone")
+			assert.NotNil(t, harness.nodes.byName[nodeName])
+			end(harness)
+			harness.advance(maxWakeInterval + 50)
+			assert.Nil(t, harness.nodes.byName[nodeName])
+			assert.Empty(t, harness.nodeConns.conns)
+		})
+	}
+}
--- a/internal/frontend/platform/wiring.go
+++ b/internal/frontend/platform/wiring.go
@@ -42,6 +42,7 @@
 // runPeriodic performs the work that no event starts.
 func (f *Frontend) runPeriodic(now placement.Millis) {
 	f.nodeConns.closeIdle(now)
+	f.nodeConns.removeUnused(now)
 	f.adoptions.endUnlisted(now)
 	f.clients.dropExpired(now)
 }
