Log why workloads ended, what waits, and what was last heard of the discovery service

Change, with grebeglade platform: a line for each node whose workloads end without a release, with number and reason; one each 10 s with what the frontend holds and waits for (clients, unanswered requests, workloads, silent nodes, notifications, revision); at most one in 10 s for requests without an answer and for connections of clients that were closed; the lines about the discovery service say the revision, the failures in a row, and when it was dialed and last heard of. The lines about silent nodes came with placement.Liveness.

Measured: tests of the package and of internal/endtoend. In TestNode_WorkloadEndsWhileNodeIsCutOff the log now says: node does not respond, heard 1,257 ms ago; node lost, its workloads have ended, heard 7,608 ms ago; 3 workloads have ended, machine of the node lost.

--- a/internal/frontend/platform/adoptions.go
+++ b/internal/frontend/platform/adoptions.go
@@ -156,9 +156,11 @@
 	}
 }
 
-// processRestarted ends the workloads of compact handovers on a node whose process has started at the given time.
-func (a *adoptions) processRestarted(n *node, startedAt placement.Millis) {
-	for _, tag := range a.handovers.on(n, startedAt) {
+// processRestarted ends the workloads of compact handovers on a node whose process has started at the given time, and
+// returns their number.
+func (a *adoptions) processRestarted(n *node, startedAt placement.Millis) (count int) {
+	tags := a.handovers.on(n, startedAt)
+	for _, tag := range tags {
 		h, _ := a.handovers.take(tag)
 		a.counters.Lost++
 		a.clients.notifyEnd(ended{
@@ -168,6 +170,7 @@
 			unverified: true,
 		})
 	}
+	return len(tags)
 }
 
 // evict ends workloads of compact handovers to make room. The client, if it is still connected, and the node are told,
@@ -211,6 +214,5 @@
 
 // endNode ends the workloads on an unlisted node and removes it.
 func (a *adoptions) endNode(now placement.Millis, n *node) {
-	a.log.Debug("unlisted node removed", "node", n.name, "workloads", len(n.workloads)+n.handovers)
-	a.binder.processEnded(now, n)
+	a.binder.processEnded(now, n, errUnlisted)
 }
--- a/internal/frontend/platform/clients.go
+++ b/internal/frontend/platform/clients.go
@@ -63,9 +63,11 @@
 	limit       int // maximum number of connections
 	undelivered []notification
 
-	slowLog    logLimit // of clients that do not read
-	endLog     logLimit // of connections that were closed for what their client sent
-	droppedLog logLimit // of notifications that were not delivered
+	slowLog logLimit // of clients that do not read
+	endLog  logLimit // of connections that were closed for what their client sent
+
+	unansweredLog logLimit // of requests without an answer
+	droppedLog    logLimit // of notifications that were not delivered
 }
 
 func newClientConns(env *environment) *clientConns {
@@ -74,9 +76,11 @@
 		conns:       map[transport.ConnID]*clientConn{},
 		limit:       env.config.maxClientConns(),
 
-		slowLog:    newLogLimit(),
-		endLog:     newLogLimit(),
-		droppedLog: newLogLimit(),
+		slowLog: newLogLimit(),
+		endLog:  newLogLimit(),
+
+		unansweredLog: newLogLimit(),
+		droppedLog:    newLogLimit(),
 	}
 }
 
@@ -201,6 +205,7 @@
 // lost handles the end of a connection that this side has not closed, or that the transport has closed for the reason.
 func (cs *clientConns) lost(now placement.Millis, c *clientConn, reason error) {
 	cs.log.Debug("client disconnected", "client", c.id, "unanswered", len(c.unanswered), "reason", reason)
+	cs.logUnanswered(now, c, reason)
 	if errors.Is(reason, transport.ErrMalformedMessage) {
 		cs.counters.Invalid++
 	}
@@ -211,6 +216,16 @@
 	cs.closed(now, c)
 }
 
+// logUnanswered logs that requests get no answer since their connection has ended, at most once per minLogInterval.
+func (cs *clientConns) logUnanswered(now placement.Millis, c *clientConn, reason error) {
+	if len(c.unanswered) == 0 {
+		return
+	}
+	if count, log := cs.unansweredLog.add(now, uint64(len(c.unanswered))); log {
+		cs.log.Info("client disconnected before its answers", "client", c.id, "requests", count, "reason", reason)
+	}
+}
+
 // warnSlow logs that a client does not read, at most once per minLogInterval.
 func (cs *clientConns) warnSlow(now placement.Millis, c *clientConn, reason error) {
 	if count, log := cs.slowLog.add(now, 1); log {
--- a/internal/frontend/platform/endpoints.go
+++ b/internal/frontend/platform/endpoints.go
@@ -105,16 +105,16 @@
 	// connection is closed, since an offer for it must not reach the node that has the address now.
 	if displaced := l.nodes.assignAddr(n, endpoint.Address); displaced != nil {
 		l.conns.disconnectNode(now, displaced, errAddressTaken)
-		l.binder.processEnded(now, displaced)
+		l.binder.processEnded(now, displaced, errAddressTaken)
 	}
 	if moved {
 		l.conns.disconnectNode(now, n, errAddressChanged)
 	}
 	switch {
 	case entry.State == placement.Removed:
-		l.binder.processEnded(now, n)
+		l.binder.processEnded(now, n, errNodeRemoved)
 	case restarted:
-		l.binder.processRestarted(now, n, entry.StartedAt)
+		l.binder.processRestarted(now, n, entry.StartedAt, errRestarted)
 	}
 	if !n.dialing.evictedRedialPending {
 		l.conns.connect(now, n)
@@ -130,7 +130,7 @@
 	for _, n := range frontend.SortedValues(l.nodes.byID) {
 		if n.listed && !listed[n.id] {
 			n.entry.State = placement.Removed
-			l.binder.processEnded(now, n)
+			l.binder.processEnded(now, n, errNodeRemoved)
 		}
 	}
 }
--- a/internal/frontend/platform/frontend.go
+++ b/internal/frontend/platform/frontend.go
@@ -107,6 +107,7 @@
 	endpoints    *endpointList
 	subscription *subscription
 	lifecycle    *lifecycle
+	status       *statusLog
 }
 
 // Limits returns the limits that the transport has to apply to the frontend's connections.
--- a/internal/frontend/platform/nodeconns.go
+++ b/internal/frontend/platform/nodeconns.go
@@ -15,7 +15,8 @@
 // event loops.
 const reservedSockets = 18
 
-// Reasons for which the frontend closes a node connection. They are only logged.
+// Reasons for which the frontend closes a node connection, or for which the workloads on a node have ended. They are
+// only logged.
 var (
 	errReplaced       = errors.New("replaced by another connection")
 	errEvicted        = errors.New("evicted: file descriptor needed for another node")
@@ -25,6 +26,9 @@
 	errAddressTaken   = errors.New("address of the node assigned to another node")
 	errNoDescription  = errors.New("confirmation without a description")
 	errMachineLost    = errors.New("machine of the node lost")
+	errNodeDown       = errors.New("connections refused for too long")
+	errRestarted      = errors.New("process of the node restarted")
+	errUnlisted       = errors.New("node not in the endpoint list")
 )
 
 // maxNodeConns returns the maximum number of node connections, including those being dialed.
@@ -39,7 +43,7 @@
 	// machineLost is called when a node's machine has been silent for so long that the workloads on it count as ended.
 	machineLost(now placement.Millis, n *node)
 	// processEnded is called when a node's process has ended, and with it all workloads on the node.
-	processEnded(now placement.Millis, n *node)
+	processEnded(now placement.Millis, n *node, reason error)
 }
 
 // nodeConns is the table of node connections. At the limit, a connection must be evicted for each new one.
--- a/internal/frontend/platform/nodedial.go
+++ b/internal/frontend/platform/nodedial.go
@@ -105,6 +105,6 @@
 		return
 	}
 	if history.refusals.add(now) >= nodeDownAfter {
-		nc.events.processEnded(now, n)
+		nc.events.processEnded(now, n, errNodeDown)
 	}
 }
--- a/internal/frontend/platform/nodes.go
+++ b/internal/frontend/platform/nodes.go
@@ -226,6 +226,16 @@
 	return n.entry.State == placement.Removed && n.unused() && t.contains(n)
 }
 
+// silent returns the number of nodes that run workloads and do not respond.
+func (t *nodeTable) silent() (count int) {
+	for _, n := range t.byID {
+		if n.silenceLogged {
+			count++
+		}
+	}
+	return count
+}
+
 // removables returns the nodes that can be removed, in the order of their ids.
 func (t *nodeTable) removables() (nodes []*node) {
 	for _, n := range t.byID {
--- a/internal/frontend/platform/subscription.go
+++ b/internal/frontend/platform/subscription.go
@@ -65,6 +65,7 @@
 	state        subscriptionState
 	conn         transport.ConnID // invalid in subscriptionDown
 	revision     uint64           // revision of the last event that was applied or skipped
+	dialedAt     placement.Millis // time of the last dial
 	openedAt     placement.Millis // time when conn was opened; valid in subscriptionOpen
 	earlierTime  placement.Millis // connectedTime of earlier connections
 	lastReceived placement.Millis // time of the last message or part of one, or of dialing or opening
@@ -94,6 +95,7 @@
 	}
 	s.conn = s.net.DialCodec(s.addr, &codec.DiscoveryCodec{}, discoveryConnectTimeout)
 	s.state = subscriptionConnecting
+	s.dialedAt = now
 	s.lastReceived = now
 }
 
@@ -133,9 +135,15 @@
 	})
 }
 
+// logEnd logs why a connection has ended, and what was received on it.
+func (s *subscription) logEnd(now placement.Millis, message string, reason error) {
+	s.log.Info(message, "address", s.addr, "reason", reason, "revision", s.revision, "failures", s.failures,
+		"dialed_ms_ago", int(now-s.dialedAt), "heard_ms_ago", int(now-s.lastReceived))
+}
+
 // reconnect closes the current connection, if there is one, and dials without a delay.
 func (s *subscription) reconnect(now placement.Millis, reason error) {
-	s.log.Info("reconnecting to the discovery service", "address", s.addr, "reason", reason)
+	s.logEnd(now, "reconnecting to the discovery service", reason)
 	if s.state != subscriptionDown {
 		s.net.Close(s.conn)
 		s.down(now)
@@ -158,10 +166,10 @@
 
 // closed handles the end of the connection or a failed dial: it dials again after a backoff.
 func (s *subscription) closed(now placement.Millis, reason error) {
+	s.logEnd(now, "discovery service disconnected", reason)
 	s.down(now)
 	delay := s.host.RetryDelay(subscribeBackoff, s.failures)
 	s.failures++
-	s.log.Info("discovery service disconnected", "address", s.addr, "reason", reason)
 	s.host.Schedule(now+delay, s.connect)
 }
 
--- a/internal/frontend/platform/wiring.go
+++ b/internal/frontend/platform/wiring.go
@@ -21,6 +21,7 @@
 	f.nodes = newNodeTable()
 	f.nodeConns = newNodeConns(env, f.nodes)
 	f.lifecycle = newLifecycle(env)
+	f.status = &statusLog{frontend: f}
 	env.host = f.newHost()
 	f.connectParts(env)
 	return f
@@ -45,6 +46,7 @@
 	f.nodeConns.removeUnused(now)
 	f.adoptions.endUnlisted(now)
 	f.clients.dropExpired(now)
+	f.status.logIfDue(now)
 }
 
 // connectParts creates the parts that use the tables and the host, and sets the tables' references to those parts.
