Release the copy of a workload whose confirmation comes after its bind was given up

What callers would see: a workload that nobody asked for any more runs on a node until its own end. Its bind was given up, the termination that was sent then was lost with the connection, and the node confirms it on the next one.

Cause: replyHandler ignored confirmations of binds that were no longer the last one.

Change: the node is sent a termination, unless the workload is bound to that node again or runs there, or the connection was one of the last 16 on which its termination was sent: a node could not tell the copies apart.

Failed before: TestReplyHandler_LateConfirmationOnAnotherConnection_CopyReleased, for a withdrawn request and for one placed elsewhere.

--- a/internal/frontend/platform/binder.go
+++ b/internal/frontend/platform/binder.go
@@ -127,7 +127,7 @@
 	w.endBind()
 	if sent {
 		w.bind.abandonedOn = append(w.bind.abandonedOn, w.bind.conn.id)
-		b.net.Send(w.bind.conn.id, codec.NewTermination(w.tag, codec.CauseNormal))
+		b.conns.sendRelease(w.bind.conn, w.tag)
 	}
 	return sent
 }
--- a/internal/frontend/platform/frontend.go
+++ b/internal/frontend/platform/frontend.go
@@ -59,6 +59,7 @@
 
 	LivenessChecks  uint64 // connections opened to check that a node which runs workloads can be reached
 	SilentNodes     uint64 // nodes whose workloads ended because their machine was silent
+	ReleasedCopies  uint64 // workloads that a node confirmed although their bind was given up
 	DroppedReleases uint64 // releases that were not sent to a node since too many wait
 
 	SlowClients uint64 // client connections closed because the client did not read
--- a/internal/frontend/platform/nodeconn.go
+++ b/internal/frontend/platform/nodeconn.go
@@ -1,6 +1,7 @@
 package platform
 
 import (
+	"grebeglade/internal/frontend/platform/codec"
 	"grebeglade/internal/transport"
 	"grebeglade/placement"
 )
@@ -16,6 +17,10 @@
 	connClosed
 )
 
+// recentReleases is the number of terminations that a connection to a node remembers. A late confirmation of one that
+// is forgotten causes a second termination, which has no effect.
+const recentReleases = 16
+
 // nodeConn is a connection to a node.
 type nodeConn struct {
 	id    transport.ConnID
@@ -27,6 +32,15 @@
 	lastSent     placement.Millis
 	lastReceived placement.Millis                   // time of the last message, or of opening
 	offers       map[placement.WorkloadID]*workload // offers sent on the connection without a reply
+
+	released [recentReleases]codec.Tag // workloads whose terminations were sent last on the connection
+	releases int                       // terminations sent so far
+}
+
+// recordRelease records that the termination of a workload was sent on the connection.
+func (c *nodeConn) recordRelease(tag codec.Tag) {
+	c.released[c.releases%len(c.released)] = tag
+	c.releases++
 }
 
 // isOpen reports whether messages can be sent on the connection.
--- a/internal/frontend/platform/nodeconnuse.go
+++ b/internal/frontend/platform/nodeconnuse.go
@@ -41,7 +41,7 @@
 	for _, c := range []*nodeConn{r.preferred, r.node.openConn()} {
 		if nc.usable(now, c) {
 			c.lastSent = now
-			nc.net.Send(c.id, codec.NewTermination(r.tag, codec.CauseNormal))
+			nc.sendRelease(c, r.tag)
 			return
 		}
 	}
@@ -65,11 +65,17 @@
 // sendPendingReleases sends the releases that waited for a connection to the node.
 func (nc *nodeConns) sendPendingReleases(c *nodeConn) {
 	for _, tag := range c.node.pendingReleases {
-		nc.net.Send(c.id, codec.NewTermination(tag, codec.CauseNormal))
+		nc.sendRelease(c, tag)
 	}
 	c.node.pendingReleases = nil
 }
 
+// sendRelease sends a node the request to end a workload.
+func (nc *nodeConns) sendRelease(c *nodeConn, tag codec.Tag) {
+	c.recordRelease(tag)
+	nc.net.Send(c.id, codec.NewTermination(tag, codec.CauseNormal))
+}
+
 // usable reports whether messages can be sent on the connection: it is open, and the node is not about to close it.
 func (nc *nodeConns) usable(now placement.Millis, c *nodeConn) bool {
 	return c != nil && c.isOpen() && !nc.idle(now, c)
--- a/internal/frontend/platform/replies.go
+++ b/internal/frontend/platform/replies.go
@@ -1,6 +1,8 @@
 package platform
 
 import (
+	"slices"
+
 	"grebeglade/internal/frontend/platform/codec"
 	"grebeglade/placement"
 )
@@ -49,6 +51,7 @@
 		w = h.handedOver(now, c, message)
 	}
 	if w == nil || !w.acceptsMessagesOn(c) {
+		h.releaseCopy(now, c, w, message)
 		return loadPending // unknown or ended workload, or abandoned bind
 	}
 	switch message := message.(type) {
@@ -65,6 +68,19 @@
 	return loadPending
 }
 
+// releaseCopy releases a workload that a node confirms although its bind was given up or the workload runs elsewhere:
+// the termination that was sent then may be lost. w is the workload with the tag, or nil. A node to which the workload
+// is bound again gets none, since it could not tell the two binds apart.
+func (h *replyHandler) releaseCopy(now placement.Millis, c *nodeConn, w *workload, message codec.Message) {
+	confirmation, ok := message.(*codec.Confirmation)
+	if !ok || w != nil && w.bind.node == c.node || h.adoptions.handovers.contains(confirmation.Tag) ||
+		slices.Contains(c.released[:], confirmation.Tag) {
+		return
+	}
+	h.counters.ReleasedCopies++
+	h.conns.releaseTag(now, release{node: c.node, preferred: c, tag: confirmation.Tag})
+}
+
 // handedOver handles a message about the workload of a compact handover. It returns the workload if it was passed to
 // the engine, or nil.
 func (h *replyHandler) handedOver(now placement.Millis, c *nodeConn, message codec.Message) *workload {
--- a/internal/frontend/platform/replies_test.go
+++ b/internal/frontend/platform/replies_test.go
@@ -8,6 +8,7 @@
 
 	"grebeglade/internal/frontend/platform/codec"
 	"grebeglade/internal/settings"
+	"grebeglade/internal/transport"
 	"grebeglade/placement"
 )
 
@@ -128,3 +129,46 @@
 	assert.Empty(t, first.workloads)
 	assert.Len(t, second.workloads, 1)
 }
+
+// Guards against a copy that runs for good on a node whose confirmation comes after the bind was given up, on another
+// connection than that of the offer: the termination sent when it was given up is lost with that connection.
+func TestReplyHandler_LateConfirmationOnAnotherConnection_CopyReleased(t *testing.T) {
+	lateConfirmation := func(harness *testHarness) transport.ConnID {
+		harness.closeConn(harness.nodeConn, errReset)
+		harness.nodeConns.await(harness.nodes.byName[nodeName], noopWaiter{})
+		again := harness.network.lastDialed(nodeAddr)
+		harness.openConn(again)
+		harness.receive(again, confirmation(7))
+		return again
+	}
+	t.Run("withdrawn by its client", func(t *testing.T) {
+		harness := newHarness(t)
+		harness.receive(harness.clientConn, request(7))
+		harness.receive(harness.clientConn, codec.NewTermination(7, codec.CauseNormal))
+		again := lateConfirmation(harness)
+		assert.Equal(t, []sentMessage{aTermination(codec.CauseNormal)}, harness.sentAbout(again, 7))
+	})
+	t.Run("placed on another node", func(t *testing.T) {
+		harness := newHarness(t)
+		harness.receive(harness.clientConn, request(7))
+		harness.publishNodes(3) // so that one may be ejected
+		w := harness.workloads.getByTag(7)
+		harness.closeConn(harness.nodeConn, errReset)
+		harness.openNodeConns()
+		require.NotEqual(t, nodeName, w.bind.node.name)
+		harness.receive(w.bind.conn.id, confirmation(7))
+		harness.nodeConns.await(harness.nodes.byName[nodeName], noopWaiter{})
+		harness.openNodeConns()
+		again := harness.nodes.byName[nodeName].conn.id
+		harness.receive(again, confirmation(7))
+		assert.Equal(t, []sentMessage{aTermination(codec.CauseNormal)}, harness.sentAbout(again, 7))
+		assert.True(t, w.running())
+		assert.Equal(t, []sentMessage{aConfirmation}, harness.sentAbout(harness.clientConn, 7))
+	})
+	t.Run("confirmed twice", func(t *testing.T) {
+		harness := newHarness(t)
+		harness.startWorkload(7)
+		again := lateConfirmation(harness)
+		assert.Empty(t, harness.sentAbout(again, 7), "it is no copy")
+	})
+}
