--- a/internal/endtoend/client_test.go
+++ b/internal/endtoend/client_test.go
@@ -69,13 +69,21 @@
 // connectWithoutReading is connect for a client that does not read what is sent to it.
 func (cs *clients) connectWithoutReading(t *testing.T) *client {
 	t.Helper()
-	conn, err := net.DialTimeout("tcp", cs.addr, 5*time.Second)
+	c, err := cs.dial()
 	require.NoError(t, err)
-	c := &client{Conn: conn, all: cs, ended: make(chan struct{})}
-	t.Cleanup(func() { _ = conn.Close() }) // the allocator may have closed it
+	t.Cleanup(func() { _ = c.Close() }) // the allocator may have closed it
 	return c
 }
 
+// dial opens a connection that is not read.
+func (cs *clients) dial() (*client, error) {
+	conn, err := net.DialTimeout("tcp", cs.addr, 5*time.Second)
+	if err != nil {
+		return nil, fmt.Errorf("connect to the allocator: %w", err)
+	}
+	return &client{Conn: conn, all: cs, ended: make(chan struct{})}, nil
+}
+
 func (c *client) read() {
 	defer func() {
 		c.endedAt = time.Now()
--- a/internal/endtoend/node_test.go
+++ b/internal/endtoend/node_test.go
@@ -16,6 +16,7 @@
 // node is a stand-in for a node. It confirms each offer after startTime, unless told otherwise.
 type node struct {
 	name      string
+	address   string
 	listener  *net.TCPListener
 	startTime time.Duration
 
@@ -30,6 +31,8 @@
 	fillers  []net.Conn    // connections that fill the listener's backlog
 	accepted chan struct{} // closed when accept has returned
 	dials    int           // connections accepted
+	ended    []taskEnd     // ends of tasks that ran
+	longCut  bool          // the node was cut off for so long that its workloads may count as lost
 }
 
 // task is a workload that a node was offered.
@@ -38,6 +41,13 @@
 	running bool
 }
 
+// taskEnd is the end of a task that ran on a node.
+type taskEnd struct {
+	tag      codec.Tag
+	at       time.Time
+	released bool // the node could send a release at once, on the connection of the offer
+}
+
 // nodeConn is one connection of an allocator.
 type nodeConn struct {
 	node *node
@@ -55,34 +65,38 @@
 		require.NoError(t, err)
 		n := &node{
 			name:      fmt.Sprintf("s-%08x", i+1),
+			address:   listener.Addr().String(),
 			listener:  listener.(*net.TCPListener),
 			startTime: 20 * time.Millisecond,
 
-			description: "runs",
+			description: nodeDescription(fmt.Sprintf("s-%08x", i+1)),
 			conns:       map[*nodeConn]bool{},
 			tasks:       map[codec.Tag]*task{},
 		}
 		t.Cleanup(func() { _ = listener.Close() }) // the end of the test ignores what is not accepted
 		n.accepted = make(chan struct{})
-		go n.accept(n.accepted)
+		go n.accept(n.listener, n.accepted)
 		nodes = append(nodes, n)
 	}
 	return nodes
 }
 
+// nodeDescription returns the description in a node's confirmations.
+func nodeDescription(name string) string { return "runs at " + name }
+
 // endpoint returns the node's entry in the list.
 func (n *node) endpoint(status string) endpoint {
 	return endpoint{
-		Name: n.name, Address: n.listener.Addr().String(), Zone: "z", Type: "small", Status: status, Weight: 1,
+		Name: n.name, Address: n.address, Zone: "z", Type: "small", Status: status, Weight: 1,
 		Room: [2]float64{60, 120},
 	}
 }
 
 // accept serves connections until the listener is closed or the node cannot be reached.
-func (n *node) accept(returned chan struct{}) {
+func (n *node) accept(listener net.Listener, returned chan struct{}) {
 	defer close(returned)
 	for {
-		conn, err := n.listener.Accept()
+		conn, err := listener.Accept()
 		if err != nil {
 			return
 		}
@@ -219,11 +233,12 @@
 	n.mu.Lock()
 	ended := n.tasks[tag]
 	delete(n.tasks, tag)
-	if ended == nil {
+	if ended == nil || !ended.running || n.gone {
 		n.mu.Unlock()
 		return
 	}
 	c := ended.conn
+	n.ended = append(n.ended, taskEnd{tag: tag, at: time.Now(), released: c != nil && !c.forgotten && n.cut == nil})
 	for other := range n.conns {
 		if c == nil {
 			c = other
@@ -265,7 +280,7 @@
 // fill opens a connection that waits for the listener. It returns false if none comes up any more.
 func (n *node) fill() bool {
 	const timeout = 20 * time.Millisecond
-	conn, err := net.DialTimeout("tcp", n.listener.Addr().String(), timeout)
+	conn, err := net.DialTimeout("tcp", n.address, timeout)
 	if err != nil {
 		return false
 	}
@@ -282,6 +297,42 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.gone = true
+	n.endAll()
+}
+
+// endAll records that all tasks have ended without a release. The caller holds mu.
+func (n *node) endAll() {
+	for tag, offered := range n.tasks {
+		if offered.running {
+			n.ended = append(n.ended, taskEnd{tag: tag, at: time.Now()})
+		}
+	}
+}
+
+// die ends the node's process: its connections are reset, its tasks are cut, and connections are refused until restart.
+func (n *node) die() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.endAll()
+	n.tasks = map[codec.Tag]*task{}
+	n.unsent = nil
+	_ = n.listener.Close() // it was open
+	for c := range n.conns {
+		resetConn(c.Conn)
+	}
+}
+
+// restart starts the process of a node that has died, at the same address.
+func (n *node) restart(t *testing.T) {
+	t.Helper()
+	listener, err := net.Listen("tcp", n.address)
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = listener.Close() }) // the end of the test ignores what is not accepted
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.listener = listener.(*net.TCPListener)
+	n.accepted = make(chan struct{})
+	go n.accept(n.listener, n.accepted)
 }
 
 // reconnect makes the node reachable again. What was written meanwhile arrives.
@@ -295,7 +346,7 @@
 	}
 	n.fillers = nil
 	n.accepted = make(chan struct{})
-	go n.accept(n.accepted)
+	go n.accept(n.listener, n.accepted)
 	n.mu.Unlock()
 	n.setBacklog(t, syscall.SOMAXCONN)
 	close(cut)
