Bound the time of the whole hello of a client on the native protocol

What callers would see: a connection that drips a hello at 340 bytes a second or more stays for as long as the frame may be, up to 51 minutes.

Cause: as with the first message on the platform, the limit for the begin and the credit for bytes add up, and nothing said by when.

Change: an accepted connection has 20 s for its whole hello. Nodes and the discovery service are dialed by us, and a node's hello lists its workloads, so theirs may take any time at that rate.

Failed before: TestHello_Drips_ConnectionOfAClientEnds. TestHello_OnItsWay_ConnectionKept is unchanged.

--- a/internal/frontend/native/acceptor.go
+++ b/internal/frontend/native/acceptor.go
@@ -18,10 +18,12 @@
 	workloads   *workloadTable
 }
 
-// opened handles an accepted connection. It is refused if no hello is received within helloTimeout.
+// opened handles an accepted connection. It is refused if no hello begins to arrive within helloTimeout, or is received
+// within maxHelloTime.
 func (a *acceptor) opened(now placement.Millis, id transport.ConnID) {
 	a.connections.add(id, &connection{})
-	a.scheduleHelloDeadline(now+helloTimeout, id, func(placement.Millis) {
+	deadline := helloDeadline{begins: now + helloTimeout, complete: now + maxHelloTime}
+	a.scheduleHelloDeadline(deadline, id, func(placement.Millis) {
 		if a.connections.awaitsHello(id) {
 			a.connections.refuse(id, errHelloTimeout)
 		}
--- a/internal/frontend/native/connections.go
+++ b/internal/frontend/native/connections.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"math"
 
 	"grebeglade/internal/frontend"
 	"grebeglade/internal/transport"
@@ -13,6 +14,9 @@
 // the discovery service.
 const helloTimeout = placement.Millis(5e3)
 
+// maxHelloTime is the time limit, in ms, for the whole hello of an accepted connection, however its bytes arrive.
+const maxHelloTime = 4 * helloTimeout
+
 // helloCheckInterval, in ms, is the time between two checks of a hello that is late and on its way.
 const helloCheckInterval = placement.Millis(20)
 
@@ -93,15 +97,26 @@
 	return peer.client.name
 }
 
-// scheduleHelloDeadline sets a timer for the hello of a connection: call runs once the given time has come and nothing
-// of the peer is on its way to its handler. A part of a frame counts, since the transport ends the connection if the
-// rest does not keep arriving, and so do frames that are queued.
+// helloDeadline is the time limit of a hello.
+type helloDeadline struct {
+	begins   placement.Millis // time at which it has to have begun to arrive
+	complete placement.Millis // time at which it has to have arrived
+}
+
+// noDeadline is the deadline of a hello that may take any time: that of a node lists its workloads. If its bytes do not
+// keep arriving, the transport ends the connection.
+var noDeadline = placement.Millis(math.Inf(1))
+
+// scheduleHelloDeadline sets a timer for the hello of a connection: call runs once the deadline has passed. Frames that
+// are queued have arrived in time.
 func (e *environment) scheduleHelloDeadline(
-	at placement.Millis, conn transport.ConnID, call func(now placement.Millis),
+	deadline helloDeadline, conn transport.ConnID, call func(now placement.Millis),
 ) {
-	e.host.Schedule(at, func(now placement.Millis) {
-		if transport.Receiving(e.network, conn) || transport.Queued(e.network, conn) {
-			e.scheduleHelloDeadline(now+helloCheckInterval, conn, call)
+	e.host.Schedule(deadline.begins, func(now placement.Millis) {
+		arriving := now < deadline.complete && transport.Receiving(e.network, conn)
+		if arriving || transport.Queued(e.network, conn) {
+			later := helloDeadline{begins: now + helloCheckInterval, complete: deadline.complete}
+			e.scheduleHelloDeadline(later, conn, call)
 			return
 		}
 		call(now)
--- a/internal/frontend/native/discovery.go
+++ b/internal/frontend/native/discovery.go
@@ -37,7 +37,8 @@
 	conn := d.network.Dial(d.address)
 	d.state = sessionConnecting
 	d.conn = conn
-	d.scheduleHelloDeadline(now+helloTimeout, conn, func(placement.Millis) {
+	deadline := helloDeadline{begins: now + helloTimeout, complete: noDeadline}
+	d.scheduleHelloDeadline(deadline, conn, func(placement.Millis) {
 		if d.conn == conn && d.state == sessionConnecting {
 			d.connections.disconnect(conn, errHelloTimeout)
 		}
--- a/internal/frontend/native/hello_test.go
+++ b/internal/frontend/native/hello_test.go
@@ -39,6 +39,17 @@
 	},
 }
 
+// Guards against a peer that keeps a connection with a hello that drips, just fast enough for the transport.
+func TestHello_Drips_ConnectionOfAClientEnds(t *testing.T) {
+	harness := newHarness(t)
+	harness.openConn(otherConn)
+	harness.network.receiving[otherConn] = true
+	harness.advance(maxHelloTime - 100)
+	assert.False(t, harness.network.closed[otherConn])
+	harness.advance(200)
+	assert.True(t, harness.network.closed[otherConn])
+}
+
 // Guards against time limits that count whole frames: a node whose hello lists many workloads, or any peer on a slow
 // network, was disconnected while its hello arrived, and on each new connection again. A hello that is queued has
 // arrived, and this process has delayed it.
--- a/internal/frontend/native/nodesessions.go
+++ b/internal/frontend/native/nodesessions.go
@@ -40,7 +40,8 @@
 	n.session.conn = conn
 	n.session.dials++
 	s.connections.add(conn, &connection{role: pb.Role_NODE, node: n})
-	s.scheduleHelloDeadline(now+connectTimeout, conn, func(placement.Millis) {
+	deadline := helloDeadline{begins: now + connectTimeout, complete: noDeadline}
+	s.scheduleHelloDeadline(deadline, conn, func(placement.Millis) {
 		if n.session.conn == conn && n.session.state == sessionConnecting {
 			s.connections.disconnect(conn, errConnectTimeout)
 		}
