Remember ends that nodes report before the workload is handed over

What callers saw: after a planned restart the clients hand over what runs; a workload had ended while no process ran, and its client was never told.

Cause: a node sends the releases that it could not send before on the first connection. That may come up for another handover, or for a bind, before this workload's own handover is handled; the release of an unknown workload was dropped. Besides, nothing else tells of that end.

--- a/internal/endtoend/node_test.go
+++ b/internal/endtoend/node_test.go
@@ -22,17 +22,19 @@
 
 	description string // description in confirmations
 
-	mu       sync.Mutex
-	conns    map[*nodeConn]bool
-	tasks    map[codec.Tag]*task
-	unsent   []codec.Tag   // ended tasks whose release is sent on the next connection opened
-	cut      chan struct{} // closed once the node can be reached again; nil while it can be
-	gone     bool          // the machine has vanished
-	fillers  []net.Conn    // connections that fill the listener's backlog
-	accepted chan struct{} // closed when accept has returned
-	dials    int           // connections accepted
-	ended    []taskEnd     // ends of tasks that ran
-	longCut  bool          // the node was cut off for so long that its workloads may count as lost
+	mu      sync.Mutex
+	conns   map[*nodeConn]bool
+	tasks   map[codec.Tag]*task
+	unsent  []codec.Tag   // ended tasks whose release is sent on the next connection opened
+	cut     chan struct{} // closed once the node can be reached again; nil while it can be
+	gone    bool          // the machine has vanished
+	fillers []net.Conn    // connections that fill the listener's backlog
+	// fillerAddrs are the addresses of the fillers, of which some are accepted once the node is reachable again.
+	fillerAddrs map[string]bool
+	accepted    chan struct{} // closed when accept has returned
+	dials       int           // connections accepted
+	ended       []taskEnd     // ends of tasks that ran
+	longCut     bool          // the node was cut off for so long that its workloads may count as lost
 }
 
 // task is a workload that a node was offered.
@@ -72,6 +74,7 @@
 			description: nodeDescription(fmt.Sprintf("s-%08x", i+1)),
 			conns:       map[*nodeConn]bool{},
 			tasks:       map[codec.Tag]*task{},
+			fillerAddrs: map[string]bool{},
 		}
 		t.Cleanup(func() { _ = listener.Close() }) // the end of the test ignores what is not accepted
 		n.accepted = make(chan struct{})
@@ -106,6 +109,11 @@
 			n.mu.Unlock()
 			return
 		}
+		if n.fillerAddrs[conn.RemoteAddr().String()] {
+			n.mu.Unlock()
+			_ = conn.Close() // its other end is closed
+			continue
+		}
 		n.dials++
 		c := &nodeConn{node: n, Conn: conn}
 		n.conns[c] = true
@@ -287,6 +295,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.fillers = append(n.fillers, conn)
+	n.fillerAddrs[conn.LocalAddr().String()] = true
 	return true
 }
 
--- a/internal/endtoend/workloadends_test.go
+++ b/internal/endtoend/workloadends_test.go
@@ -126,6 +126,27 @@
 	cs.assertNotified(t, []codec.Tag{tag}, time.Now(), endLimit)
 }
 
+// Guards both bounds where more nodes run workloads than there are descriptors, so that most have no connection.
+func TestNodes_MoreThanDescriptors_LostOnesNoticedAndOthersKept(t *testing.T) {
+	t.Parallel()
+	nodes := startNodes(t, 40)
+	d := startDiscovery(t, nodes...)
+	cs := newClients(startAllocatorWith(t, d, options{sockets: 72}))
+	placeOnEach(t, cs, nodes, 5)
+	lost, cut, ending := nodes[0], nodes[1], nodes[2]
+	tag, kept := ending.running()[0], cut.running()
+	lostTags := lost.running()
+	cut.cutOff(t)
+	time.AfterFunc(partition, func() { cut.reconnect(t) })
+	ending.end(tag)
+	lost.vanish(t)
+	vanished := time.Now()
+	cs.assertNotified(t, []codec.Tag{tag}, vanished, endLimit)
+	cs.assertNotified(t, lostTags, vanished, endLimit)
+	time.Sleep(3 * time.Second)
+	cs.assertNotEnded(t, kept)
+}
+
 // Guards against a release that waits at a node which has forgotten its idle connection.
 func TestNode_ForgetsItsConnection_ClientNotified(t *testing.T) {
 	t.Parallel()
--- a/internal/frontend/platform/adoptions.go
+++ b/internal/frontend/platform/adoptions.go
@@ -36,6 +36,7 @@
 	conns        *nodeConns
 	binder       *binder
 	subscription *subscription
+	earlyEnds    *earlyEnds
 }
 
 // checkNode returns an error if a node's name is too long and the endpoint list does not contain it.
@@ -53,6 +54,10 @@
 	if a.workloads.getByTag(request.Tag) != nil || a.handovers.contains(request.Tag) {
 		return
 	}
+	if end, ok := a.earlyEnds.of(request.Tag, request.Node); ok {
+		a.clients.notifyEnd(ended{client: client.id, tag: request.Tag, cause: end.cause})
+		return
+	}
 	if a.workloads.idsExhausted() {
 		a.net.Send(client.id, codec.NewTermination(request.Tag, codec.CauseNoCapacity))
 		return
@@ -145,15 +150,19 @@
 	return ok
 }
 
-// terminated handles a node's termination of the workload of a compact handover.
+// terminated handles a node's termination of a workload that is not in the engine: that of a compact handover, or of
+// one that may be handed over later.
 func (a *adoptions) terminated(n *node, termination *codec.Termination) {
-	if h, ok := a.handovers.takeOn(n, termination.Tag); ok {
-		a.clients.notifyEnd(ended{
-			client: h.client,
-			tag:    termination.Tag,
-			cause:  termination.Cause,
-		})
+	h, ok := a.handovers.takeOn(n, termination.Tag)
+	if !ok {
+		a.earlyEnds.add(termination.Tag, earlyEnd{node: n.name, cause: termination.Cause})
+		return
 	}
+	a.clients.notifyEnd(ended{
+		client: h.client,
+		tag:    termination.Tag,
+		cause:  termination.Cause,
+	})
 }
 
 // processRestarted ends the workloads of compact handovers on a node whose process has started at the given time, and
--- a/internal/frontend/platform/adoptions_test.go
+++ b/internal/frontend/platform/adoptions_test.go
@@ -239,6 +239,26 @@
 	assert.Empty(t, harness.sentAbout(harness.clientConn, 7), "listed")
 }
 
+// Guards against a workload for good whose node reports its end before its client has handed it over: the node sends
+// what it could not send before on the first connection, which another handover may have caused.
+func TestAdoptions_EndReportedBeforeTheHandover_ClientNotified(t *testing.T) {
+	harness := newHarness(t)
+	harness.publishNodes(1)
+	harness.receive(harness.nodeConn, codec.NewTermination(7, codec.CauseNormal))
+	harness.receive(harness.nodeConn, codec.NewTermination(8, codec.CauseNormal))
+	harness.receive(harness.clientConn, adoptRequest(7, nodeName))
+	assert.Equal(t, []sentMessage{aTermination(codec.CauseNormal)}, harness.sentAbout(harness.clientConn, 7))
+	assert.Nil(t, harness.workloads.getByTag(7))
+	harness.receive(harness.clientConn, adoptRequest(8, extraNodeName(0)))
+	assert.Empty(t, harness.sentAbout(harness.clientConn, 8), "it runs on another node than the one that reported an end")
+	harness.receive(harness.clientConn, adoptRequest(9, nodeName))
+	assert.Empty(t, harness.sentAbout(harness.clientConn, 9))
+	for tag := codec.Tag(100); tag < 100+2*maxEarlyEnds; tag++ {
+		harness.receive(harness.nodeConn, codec.NewTermination(tag, codec.CauseNormal))
+	}
+	assert.Len(t, harness.adoptions.earlyEnds.byTag, maxEarlyEnds)
+}
+
 // Guards both sides of the time that an unlisted node has: silence of the discovery service does not count, and a new
 // connection to it does not begin the time anew.
 func TestAdoptions_DiscoveryFlaps_OnlyConnectedTimeCounts(t *testing.T) {
--- a/internal/frontend/platform/nodeliveness.go
+++ b/internal/frontend/platform/nodeliveness.go
@@ -14,6 +14,9 @@
 	checkConnTime = placement.Millis(250)
 	// minCheckSpacing, in ms, is the minimum time between two checks of a node, also if dialing fails on this machine.
 	minCheckSpacing = placement.Millis(50)
+	// failuresUntilLogged is the number of attempts without a response after which a node's silence is logged. Single
+	// connections to sound nodes do not come up.
+	failuresUntilLogged = 2
 	// unusedCheckTag is the tag of a health check whose reply is of no interest.
 	unusedCheckTag = codec.Tag(0)
 )
@@ -149,7 +152,7 @@
 		nc.heard(now, n)
 		return
 	}
-	if !n.silenceLogged {
+	if !n.silenceLogged && n.liveness.Failures() >= failuresUntilLogged {
 		n.silenceLogged = true
 		nc.log.Info("node does not respond", "node", n.name, "address", n.addr, "workloads", len(n.workloads)+n.handovers,
 			"heard_ms_ago", int(now-n.liveness.HeardAt()))
--- a/internal/frontend/platform/wiring.go
+++ b/internal/frontend/platform/wiring.go
@@ -82,6 +82,7 @@
 		nodes:       f.nodes,
 		conns:       f.nodeConns,
 		binder:      f.binder,
+		earlyEnds:   newEarlyEnds(),
 	}
 	f.binder.adoptions = f.adoptions
 }
--- a/placement/liveness.go
+++ b/placement/liveness.go
@@ -20,19 +20,24 @@
 	lastAttempt Millis // start of the last check
 	silent      bool   // an attempt since heardAt got no response
 	silentSince Millis // start of the first such attempt; valid if silent
-	lateFailure int    // attempts without a response that began after the end of maxPartition
+	failures    int    // attempts without a response since heardAt
+	lateFailure int    // those of failures that began after the end of maxPartition
 }
 
 // Heard records a sign of life: something was received, or a connection came up.
 func (l *Liveness) Heard(now Millis) {
 	l.heardAt = now
 	l.silent = false
+	l.failures = 0
 	l.lateFailure = 0
 }
 
 // HeardAt returns the time of the last sign of life.
 func (l *Liveness) HeardAt() Millis { return l.heardAt }
 
+// Failures returns the number of attempts without a response since the last sign of life.
+func (l *Liveness) Failures() int { return l.failures }
+
 // CheckBegun records the start of a check.
 func (l *Liveness) CheckBegun(now Millis) { l.lastAttempt = now }
 
@@ -46,6 +51,7 @@
 		l.silent = true
 		l.silentSince = begunAt
 	}
+	l.failures++
 	if begunAt >= l.partitionOverAt() {
 		l.lateFailure++
 	}
