--- a/internal/frontend/platform/nodeconn.go
+++ b/internal/frontend/platform/nodeconn.go
@@ -53,7 +53,7 @@
 }
 
 // ofCheck reports whether the connection was opened for a check only.
-func (c *nodeConn) ofCheck() bool { return c.node.checkConn == c }
+func (c *nodeConn) ofCheck() bool { return c.node.check.conn == c }
 
 // evictedBefore defines the eviction order: those of checks come first, then connections to nodes without workloads,
 // then those with an older lastSent.
--- a/internal/frontend/platform/nodeconns.go
+++ b/internal/frontend/platform/nodeconns.go
@@ -110,13 +110,13 @@
 	c.state = connOpen
 	c.lastReceived = now
 	nc.heard(now, n)
-	if n.watched {
+	if n.check.watched {
 		nc.scheduleCheck(now, n)
 	}
 	switch c {
 	case n.conn:
 		nc.becameCurrent(c)
-	case n.checkConn:
+	case n.check.conn:
 		nc.checkOpened(now, c)
 	default:
 		nc.disconnect(now, c, errReplaced)
@@ -140,7 +140,7 @@
 
 // disconnectNode closes a node's current connection and that of a check, which may be open or being dialed.
 func (nc *nodeConns) disconnectNode(now placement.Millis, n *node, reason error) {
-	for _, c := range []*nodeConn{n.conn, n.checkConn} {
+	for _, c := range []*nodeConn{n.conn, n.check.conn} {
 		if c != nil {
 			nc.disconnect(now, c, reason)
 		}
@@ -177,8 +177,8 @@
 	c.state = connClosed
 	nc.events.offersLost(now, c)
 	switch {
-	case n.checkConn == c:
-		n.checkConn = nil
+	case n.check.conn == c:
+		n.check.conn = nil
 		if !wasOpen {
 			nc.checkFailed(now, n, reason)
 		}
@@ -192,7 +192,7 @@
 	if !wasOpen && transport.IsNoResponse(reason) {
 		nc.noResponse(now, n, c.dialedAt)
 	}
-	if n.watched {
+	if n.check.watched {
 		nc.scheduleCheck(now, n)
 	}
 	nc.redial(now, n)
--- a/internal/frontend/platform/nodeliveness.go
+++ b/internal/frontend/platform/nodeliveness.go
@@ -27,29 +27,29 @@
 // watch begins to check that a node which runs workloads can be reached, unless it does already. The checks end with
 // the last workload.
 func (nc *nodeConns) watch(now placement.Millis, n *node) {
-	if n.watched {
+	if n.check.watched {
 		return
 	}
-	n.watched = true
-	n.liveness.Heard(now)
+	n.check.watched = true
+	n.check.liveness.Heard(now)
 	nc.scheduleCheck(now, n)
 }
 
 // heard records a sign of life of a node.
 func (nc *nodeConns) heard(now placement.Millis, n *node) {
-	if n.silenceLogged {
-		n.silenceLogged = false
-		nc.log.Info("node responds again", "node", n.name, "silent_ms", int(now-n.liveness.HeardAt()))
+	if n.check.silenceLogged {
+		n.check.silenceLogged = false
+		nc.log.Info("node responds again", "node", n.name, "silent_ms", int(now-n.check.liveness.HeardAt()))
 	}
-	n.liveness.Heard(now)
+	n.check.liveness.Heard(now)
 }
 
 // scheduleCheck sets the timer of a watched node's next check. It replaces the one that was set before.
 func (nc *nodeConns) scheduleCheck(now placement.Millis, n *node) {
-	n.checkTimer++
-	number := n.checkTimer
-	nc.host.Schedule(max(n.liveness.NextCheck(), now+minCheckSpacing), func(now placement.Millis) {
-		if n.checkTimer == number && nc.nodes.contains(n) {
+	n.check.timer++
+	number := n.check.timer
+	nc.host.Schedule(max(n.check.liveness.NextCheck(), now+minCheckSpacing), func(now placement.Millis) {
+		if n.check.timer == number && nc.nodes.contains(n) {
 			nc.checkIfDue(now, n)
 		}
 	})
@@ -59,13 +59,13 @@
 // a dial is in progress, its end sets the timer.
 func (nc *nodeConns) checkIfDue(now placement.Millis, n *node) {
 	if !n.runsWorkloads() {
-		n.watched = false
+		n.check.watched = false
 		return
 	}
 	if nc.dialInProgress(n) {
 		return
 	}
-	if n.liveness.NextCheck() <= now {
+	if n.check.liveness.NextCheck() <= now {
 		nc.check(now, n)
 	}
 	if !nc.dialInProgress(n) {
@@ -75,13 +75,13 @@
 
 // dialInProgress reports whether a node is being dialed.
 func (nc *nodeConns) dialInProgress(n *node) bool {
-	return n.checkConn != nil || n.conn != nil && n.conn.state == connDialing
+	return n.check.conn != nil || n.conn != nil && n.conn.state == connDialing
 }
 
 // check opens a connection to a node, beside its current one if there is one. Nodes that refuse connections are dialed
 // by redial, and unlisted ones have no address yet. Nobody answers for a node whose address another node has taken.
 func (nc *nodeConns) check(now placement.Millis, n *node) {
-	n.liveness.CheckBegun(now)
+	n.check.liveness.CheckBegun(now)
 	switch {
 	case nc.nodes.isUnlisted(n), n.dialing.refusals.ongoing:
 	case n.addr == "":
@@ -99,7 +99,7 @@
 		return
 	}
 	nc.counters.LivenessChecks++
-	n.checkConn = nc.newConn(now, n, min(nc.connectTimeout, placement.LivenessCheckTimeout))
+	n.check.conn = nc.newConn(now, n, min(nc.connectTimeout, placement.LivenessCheckTimeout))
 }
 
 // checkOpened handles the connection of a check that has come up. It becomes the node's connection if there is no
@@ -111,7 +111,7 @@
 		return
 	}
 	nc.host.Schedule(now+checkConnTime, func(now placement.Millis) {
-		if n.checkConn == c {
+		if n.check.conn == c {
 			nc.disconnect(now, c, errCheckDone)
 		}
 	})
@@ -121,7 +121,7 @@
 func (nc *nodeConns) useCheckConn(now placement.Millis, c *nodeConn) {
 	n := c.node
 	dialing := n.conn
-	n.checkConn = nil
+	n.check.conn = nil
 	n.conn = c
 	nc.becameCurrent(c)
 	if dialing != nil {
@@ -144,26 +144,26 @@
 // noResponse handles a connection attempt that began at the given time and got no response. If the machine counts as
 // lost, its workloads have ended.
 func (nc *nodeConns) noResponse(now placement.Millis, n *node, begunAt placement.Millis) {
-	if !n.watched {
+	if !n.check.watched {
 		return
 	}
-	lost := n.liveness.NoResponse(begunAt)
+	lost := n.check.liveness.NoResponse(begunAt)
 	if nc.anyArriving(n) {
 		nc.heard(now, n)
 		return
 	}
-	if !n.silenceLogged && n.liveness.Failures() >= failuresUntilLogged {
-		n.silenceLogged = true
+	if !n.check.silenceLogged && n.check.liveness.Failures() >= failuresUntilLogged {
+		n.check.silenceLogged = true
 		nc.log.Info("node does not respond", "node", n.name, "address", n.addr, "workloads", len(n.workloads)+n.handovers,
-			"heard_ms_ago", int(now-n.liveness.HeardAt()))
+			"heard_ms_ago", int(now-n.check.liveness.HeardAt()))
 	}
 	if !lost {
 		return
 	}
 	nc.counters.SilentNodes++
 	nc.log.Warn("node lost, its workloads have ended", "node", n.name, "address", n.addr,
-		"workloads", len(n.workloads)+n.handovers, "heard_ms_ago", int(now-n.liveness.HeardAt()))
-	n.silenceLogged = false
+		"workloads", len(n.workloads)+n.handovers, "heard_ms_ago", int(now-n.check.liveness.HeardAt()))
+	n.check.silenceLogged = false
 	nc.events.machineLost(now, n)
 }
 
