--- a/internal/endtoend/allocator_test.go
+++ b/internal/endtoend/allocator_test.go
@@ -62,6 +62,14 @@
 	return b.buffer.String()
 }
 
+// startCluster starts nodes, a discovery service that lists them, and an allocator with its clients.
+func startCluster(t *testing.T, count int) (nodes []*node, d *discovery, cs *clients) {
+	t.Helper()
+	nodes = startNodes(t, count)
+	d = startDiscovery(t, nodes...)
+	return nodes, d, newClients(startAllocator(t, d))
+}
+
 // options are the parameters of an allocator that differ between tests.
 type options struct {
 	sockets int            // limit of descriptors
--- a/internal/endtoend/client_test.go
+++ b/internal/endtoend/client_test.go
@@ -56,6 +56,9 @@
 // lastTag is the tag of the latest request of any test.
 var lastTag atomic.Uint64
 
+// newTag returns a tag that no request of any test has.
+func newTag() codec.Tag { return codec.Tag(0x9b1f03aa5c7e0000 + lastTag.Add(1)) }
+
 func newClients(a *allocator) *clients {
 	return &clients{addr: a.addr, received: map[string][]line{}}
 }
@@ -135,7 +138,7 @@
 
 // request sends a request for a small workload, and returns its tag.
 func (c *client) request() codec.Tag {
-	tag := codec.Tag(0x9b1f03aa5c7e0000 + lastTag.Add(1))
+	tag := newTag()
 	c.write(placeRequest(tag, requestedCores, ""))
 	return tag
 }
--- a/internal/endtoend/clientends_test.go
+++ b/internal/endtoend/clientends_test.go
@@ -29,8 +29,7 @@
 // Guards against clients that keep a connection by sending just fast enough, or late.
 func TestClient_FirstMessageDoesNotEnd_ConnectionEnds(t *testing.T) {
 	t.Parallel()
-	nodes := startNodes(t, 1)
-	cs := newClients(startAllocator(t, startDiscovery(t, nodes...)))
+	_, _, cs := startCluster(t, 1)
 	for name, send := range map[string]func(c *client){
 		"drips above the accepted rate": func(c *client) { c.writeSlowly(unending, 120, 100*time.Millisecond) },
 		"drips one byte at a time":      func(c *client) { c.writeSlowly(unending, 1, 20*time.Millisecond) },
@@ -57,8 +56,7 @@
 // Guards against clients that keep a connection with messages that no reply follows.
 func TestClient_OnlyMessagesWithoutEffect_ConnectionEnds(t *testing.T) {
 	t.Parallel()
-	nodes := startNodes(t, 1)
-	cs := newClients(startAllocator(t, startDiscovery(t, nodes...)))
+	_, _, cs := startCluster(t, 1)
 	for _, message := range []string{
 		`{"verb":"FINISH","tag":"00000000000000aa","opts":{},"rc":16}`,
 		`{"verb":"FINISHED","tag":"00000000000000aa","opts":{}}`,
@@ -80,9 +78,8 @@
 // Guards against a limit that strikes a client which is slow and sound.
 func TestClient_SlowButSound_Answered(t *testing.T) {
 	t.Parallel()
-	nodes := startNodes(t, 1)
-	cs := newClients(startAllocator(t, startDiscovery(t, nodes...)))
-	tag := codec.Tag(0x9b1f03aa5c7e0000 + lastTag.Add(1))
+	_, _, cs := startCluster(t, 1)
+	tag := newTag()
 	request := placeRequest(tag, 0.25, "")
 	padded := strings.Replace(request, `"blob":"`, `"blob":"`+strings.Repeat("x", 12600-len(request)), 1)
 	c := cs.connect(t)
--- a/internal/endtoend/workloadends_test.go
+++ b/internal/endtoend/workloadends_test.go
@@ -45,9 +45,7 @@
 // Guards against clients that wait for good for workloads of a machine that vanished without the list saying so.
 func TestNode_VanishesUnderRequestsAndListIsSilent_ClientsNotified(t *testing.T) {
 	t.Parallel()
-	nodes := startNodes(t, 5)
-	d := startDiscovery(t, nodes...)
-	cs := newClients(startAllocator(t, d))
+	nodes, d, cs := startCluster(t, 5)
 	c := placeOnEach(t, cs, nodes, 40)
 	keepRequesting(t, c)
 	d.setSilent(true)
@@ -59,9 +57,7 @@
 // Guards against clients that wait for good for workloads of a vanished machine while nothing else goes on.
 func TestNode_VanishesWhileNothingElseGoesOn_ClientsNotified(t *testing.T) {
 	t.Parallel()
-	nodes := startNodes(t, 3)
-	d := startDiscovery(t, nodes...)
-	cs := newClients(startAllocator(t, d))
+	nodes, _, cs := startCluster(t, 3)
 	placeOnEach(t, cs, nodes, 5)
 	time.Sleep(2 * time.Second)
 	lost := nodes[1].running()
@@ -73,9 +69,7 @@
 // Guards against an end that a node cannot report in time, since it is cut off for longer than that.
 func TestNode_WorkloadEndsWhileNodeIsCutOff_ClientNotified(t *testing.T) {
 	t.Parallel()
-	nodes := startNodes(t, 3)
-	d := startDiscovery(t, nodes...)
-	cs := newClients(startAllocator(t, d))
+	nodes, _, cs := startCluster(t, 3)
 	placeOnEach(t, cs, nodes, 5)
 	tags := nodes[0].running()
 	nodes[0].cutOff(t)
@@ -91,9 +85,7 @@
 // Guards against the end of sound workloads in a partition that the rules allow.
 func TestNodes_CutOffForSixSeconds_NothingEnds(t *testing.T) {
 	t.Parallel()
-	nodes := startNodes(t, 4)
-	d := startDiscovery(t, nodes...)
-	cs := newClients(startAllocator(t, d))
+	nodes, _, cs := startCluster(t, 4)
 	placeOnEach(t, cs, nodes, 10)
 	var tags []codec.Tag
 	for _, n := range nodes {
@@ -150,9 +142,7 @@
 // Guards against a release that waits at a node which has forgotten its idle connection.
 func TestNode_ForgetsItsConnection_ClientNotified(t *testing.T) {
 	t.Parallel()
-	nodes := startNodes(t, 2)
-	d := startDiscovery(t, nodes...)
-	cs := newClients(startAllocator(t, d))
+	nodes, _, cs := startCluster(t, 2)
 	placeOnEach(t, cs, nodes, 5)
 	time.Sleep(3 * time.Second)
 	tags := nodes[0].running()
@@ -165,13 +155,11 @@
 // Guards against a notification that waits for its client's next message although another of its connections is open.
 func TestClient_ConnectionOfAWorkloadEnds_NotifiedOnAnother(t *testing.T) {
 	t.Parallel()
-	nodes := startNodes(t, 2)
-	d := startDiscovery(t, nodes...)
-	cs := newClients(startAllocator(t, d))
+	nodes, _, cs := startCluster(t, 2)
 	first := cs.connect(t)
 	tag := first.place(t)
 	second := cs.connect(t)
-	rejected := codec.Tag(0x9b1f03aa5c7e0000 + lastTag.Add(1))
+	rejected := newTag()
 	second.write(placeRequest(rejected, 59, ""))
 	require.Eventually(t, func() bool { return len(cs.about(rejected)) > 0 }, 7*time.Second, 5*time.Millisecond)
 	resetConn(first)
@@ -186,10 +174,8 @@
 // again.
 func TestHandover_UnlistedNodeAndDiscoveryFlaps_ClientNotified(t *testing.T) {
 	t.Parallel()
-	nodes := startNodes(t, 2)
-	d := startDiscovery(t, nodes...)
-	cs := newClients(startAllocator(t, d))
-	tag := codec.Tag(0x9b1f03aa5c7e0000 + lastTag.Add(1))
+	_, d, cs := startCluster(t, 2)
+	tag := newTag()
 	cs.connect(t).write(placeRequest(tag, 1, "s-0badc0de"))
 	ended := time.Now()
 	ticker := time.NewTicker(3 * time.Second)
