Send a notification again whose connection is reset just after

Cause, by a trace of two more such cases: the client reset its connection 0.10 and 0.11 ms after the end, and so before it could read the notification, which was written to the connection without an error. Nothing had remembered it.

Change: notifications of the last 50 ms are kept with their connection, and sent again on another one, or queued, if it is reset. A client that read one and reset its connection within 50 ms is told twice; `FINISH` about a workload that it no longer has means nothing to it. After an orderly close nothing is sent again, since the client has read until then.

Failed before: TestClientConns_NotificationCrossesTheEndOfItsConnection_SentAgain, in two of its six cases. New beside it: TestAllocator_StoppedForNineSeconds_NothingEnds, which holds: time in which the process stood still is no silence of its nodes.

--- a/internal/endtoend/workloadends_test.go
+++ b/internal/endtoend/workloadends_test.go
@@ -1,6 +1,7 @@
 package endtoend_test
 
 import (
+	"syscall"
 	"testing"
 	"time"
 
@@ -100,6 +101,26 @@
 	cs.assertNotEnded(t, tags)
 }
 
+// Guards against taking the time in which this process stood still for the silence of its nodes.
+func TestAllocator_StoppedForNineSeconds_NothingEnds(t *testing.T) {
+	t.Parallel()
+	nodes := startNodes(t, 4)
+	a := startAllocator(t, startDiscovery(t, nodes...))
+	cs := newClients(a)
+	placeOnEach(t, cs, nodes, 10)
+	var tags []codec.Tag
+	for _, n := range nodes {
+		tags = append(tags, n.running()...)
+	}
+	for range 3 {
+		require.NoError(t, a.process.Process.Signal(syscall.SIGSTOP))
+		time.Sleep(9 * time.Second)
+		require.NoError(t, a.process.Process.Signal(syscall.SIGCONT))
+		time.Sleep(1500 * time.Millisecond)
+	}
+	cs.assertNotEnded(t, tags)
+}
+
 // Guards against a workload for good on a node that confirmed it after its removal and then vanished.
 func TestNode_RemovedWhileABindIsOutThenVanishes_ClientNotified(t *testing.T) {
 	t.Parallel()
--- a/internal/frontend/platform/clients.go
+++ b/internal/frontend/platform/clients.go
@@ -23,14 +23,15 @@
 // clientConn is a client connection.
 type clientConn struct {
 	id           transport.ConnID
-	active       bool  // a message was received
-	accepted     bool  // a message had an effect or gets a reply
-	endReason    error // why the connection ends once its requests are answered, or nil
-	queued       bool  // messages waited to be handled when evictConnection ran last
-	arriving     bool  // bytes were received and not handled, when evictConnection ran last
-	requested    bool  // a valid request was received
-	placed       int   // workloads placed or adopted for requests on this connection
-	confirmed    int   // those of placed that a node has confirmed or reported on
+	active       bool               // a message was received
+	accepted     bool               // a message had an effect or gets a reply
+	endReason    error              // why the connection ends once its requests are answered, or nil
+	queued       bool               // messages waited to be handled when evictConnection ran last
+	arriving     bool               // bytes were received and not handled, when evictConnection ran last
+	requested    bool               // a valid request was received
+	placed       int                // workloads placed or adopted for requests on this connection
+	confirmed    int                // those of placed that a node has confirmed or reported on
+	notified     []sentNotification // notifications of the last crossingTime before the latest one
 	openedAt     placement.Millis
 	lastReceived placement.Millis                   // time of the last message, or of opening if there is none
 	unanswered   map[placement.WorkloadID]*workload // requests on this connection without a final answer
@@ -108,6 +109,9 @@
 		cs.warnSlow(now, c, reason)
 	}
 	cs.closed(now, c)
+	if errors.Is(reason, transport.ErrConnectionLost) {
+		cs.notifyAgain(now, c)
+	}
 }
 
 // closed removes a closed connection and withdraws its unanswered requests, which can no longer be answered.
--- a/internal/frontend/platform/clients_test.go
+++ b/internal/frontend/platform/clients_test.go
@@ -11,6 +11,7 @@
 
 	"grebeglade/internal/frontend/platform/codec"
 	"grebeglade/internal/transport"
+	"grebeglade/placement"
 )
 
 func TestClientConns_FirstMessageTimeout_Closed(t *testing.T) {
@@ -138,6 +139,42 @@
 	assert.Equal(t, []sentMessage{aConfirmation}, harness.sentAbout(harness.clientConn, 7))
 }
 
+// Guards against a notification that crosses the end of its connection, from both sides: it is sent again on another
+// one, and one that the client has had time to read is not.
+func TestClientConns_NotificationCrossesTheEndOfItsConnection_SentAgain(t *testing.T) {
+	for name, test := range map[string]struct {
+		wait placement.Millis
+		want []sentMessage
+	}{
+		"at once":                 {wait: 0, want: []sentMessage{aTermination(codec.CauseNormal)}},
+		"shortly after":           {wait: crossingTime - 10, want: []sentMessage{aTermination(codec.CauseNormal)}},
+		"when it has been read":   {wait: crossingTime + 10},
+		"closed from this side":   {wait: -1},
+		"closed by the client":    {wait: -2},
+		"when it was read by far": {wait: 10e3},
+	} {
+		t.Run(name, func(t *testing.T) {
+			harness := newHarness(t)
+			harness.startWorkload(7)
+			harness.openConn(otherConn)
+			harness.receive(otherConn, request(8))
+			harness.receive(harness.nodeConn, codec.NewTermination(7, codec.CauseNormal))
+			require.Equal(t, []sentMessage{aConfirmation, aTermination(codec.CauseNormal)},
+				harness.sentAbout(harness.clientConn, 7))
+			switch test.wait {
+			case -1:
+				harness.clients.disconnect(harness.now, harness.clients.get(harness.clientConn))
+			case -2:
+				harness.closeConn(harness.clientConn, errClosed)
+			default:
+				harness.advance(test.wait)
+				harness.closeConn(harness.clientConn, errReset)
+			}
+			assert.Equal(t, test.want, harness.sentAbout(otherConn, 7))
+		})
+	}
+}
+
 // Guards against many connections with one request each, which stay open: they must neither cause the eviction of a
 // connection with several running workloads, even if that was silent for longer, nor receive its notifications. The
 // cost is that connections with few placed workloads are evicted sooner.
--- a/internal/frontend/platform/frontend.go
+++ b/internal/frontend/platform/frontend.go
@@ -52,8 +52,9 @@
 	Lost     uint64 // running workloads that ended because their node's process ended
 	Released uint64 // notifications to clients that a workload ended
 
-	QueuedNotifications  uint64 // notifications that had to wait for a client connection
-	DroppedNotifications uint64 // notifications that were not delivered: too many or too long without a client connection
+	QueuedNotifications   uint64 // notifications that had to wait for a client connection
+	RepeatedNotifications uint64 // notifications that were sent again, since their connection was reset just after
+	DroppedNotifications  uint64 // notifications that were not delivered: too many or too long without a client connection
 
 	EvictedHandovers uint64 // handovers that were ended since there were too many
 
--- a/internal/frontend/platform/notifications.go
+++ b/internal/frontend/platform/notifications.go
@@ -1,6 +1,8 @@
 package platform
 
 import (
+	"slices"
+
 	"grebeglade/internal/frontend/platform/codec"
 	"grebeglade/internal/transport"
 	"grebeglade/placement"
@@ -12,6 +14,9 @@
 	// maxUndeliveredUnverified is the number of waiting notifications beyond which none about workloads are queued that
 	// were handed over and may not exist.
 	maxUndeliveredUnverified = maxUndelivered / 2
+	// crossingTime, in ms, is the time before a reset of a connection in which a notification that was sent on it may not
+	// have been read.
+	crossingTime = placement.Millis(50)
 	// undeliveredTTL, in ms, is how long a notification waits for a client connection before it is dropped.
 	undeliveredTTL = 10 * endGrace
 )
@@ -22,6 +27,12 @@
 	expiresAt placement.Millis
 }
 
+// sentNotification is a message that was sent on a client connection lately.
+type sentNotification struct {
+	message codec.Message
+	at      placement.Millis
+}
+
 // ended is the end of a workload that a client is notified of.
 type ended struct {
 	client     transport.ConnID // connection of the request, which may be closed
@@ -53,12 +64,12 @@
 // notifications on any connection. If there is none, the message is queued; beyond maxUndelivered, the oldest queued
 // message is dropped.
 func (cs *clientConns) notify(client transport.ConnID, m codec.Message) {
-	if c := cs.conns[client]; c != nil && !cs.net.IsClosed(client) {
-		cs.net.Send(client, m)
-		return
+	c := cs.conns[client]
+	if c == nil || cs.net.IsClosed(client) {
+		c = cs.lastEvicted()
 	}
-	if c := cs.lastEvicted(); c != nil {
-		cs.net.Send(c.id, m)
+	if c != nil {
+		cs.sendNotification(c, m)
 		return
 	}
 	if len(cs.undelivered) >= maxUndelivered {
@@ -69,6 +80,25 @@
 	cs.undelivered = append(cs.undelivered, notification{message: m, expiresAt: cs.host.Now() + undeliveredTTL})
 }
 
+// sendNotification sends a notification on a connection, and remembers it for crossingTime.
+func (cs *clientConns) sendNotification(c *clientConn, m codec.Message) {
+	now := cs.host.Now()
+	c.notified = slices.DeleteFunc(c.notified, func(n sentNotification) bool { return now-n.at > crossingTime })
+	c.notified = append(c.notified, sentNotification{message: m, at: now})
+	cs.net.Send(c.id, m)
+}
+
+// notifyAgain sends the notifications that a reset of their connection may have crossed on another connection. Their
+// client may have read them; it is told twice rather than not at all.
+func (cs *clientConns) notifyAgain(now placement.Millis, reset *clientConn) {
+	for _, n := range reset.notified {
+		if now-n.at <= crossingTime {
+			cs.counters.RepeatedNotifications++
+			cs.notify(reset.id, n.message)
+		}
+	}
+}
+
 // lastEvicted returns the last connection in eviction order among the open ones on which a valid request was received,
 // or nil.
 func (cs *clientConns) lastEvicted() *clientConn {
@@ -111,7 +141,7 @@
 	}
 	cs.dropExpired(now)
 	for _, n := range cs.undelivered {
-		cs.net.Send(c.id, n.message)
+		cs.sendNotification(c, n.message)
 	}
 	cs.undelivered = nil
 }
