Dial a node as before after the connection of a check to it was evicted

Cause: evictConnection set the timer of evicted nodes also for the connection of a check, and while that runs, redial sets none: a node whose own connection broke in the next 3 s was dialed only then, or by the next check.

Failed before: TestNodeConns_CheckConnEvicted_NodeDialedAsBefore.

--- a/internal/frontend/platform/nodedial.go
+++ b/internal/frontend/platform/nodedial.go
@@ -78,7 +78,9 @@
 		nc.disconnect(now, first, errReplaced)
 		return true
 	}
-	nc.redialEvicted(now, first.node)
+	if !first.ofCheck() {
+		nc.redialEvicted(now, first.node)
+	}
 	nc.disconnect(now, first, errEvicted)
 	return true
 }
--- a/internal/frontend/platform/nodedial_test.go
+++ b/internal/frontend/platform/nodedial_test.go
@@ -113,6 +113,21 @@
 	})
 }
 
+// Guards against a node that is not dialed for seconds since the connection of a check was evicted, and its own broke.
+func TestNodeConns_CheckConnEvicted_NodeDialedAsBefore(t *testing.T) {
+	harness := newHarness(t)
+	harness.startWorkload(6)
+	n := harness.nodes.byName[nodeName]
+	harness.nodeConns.dialCheck(harness.now, n)
+	harness.openNodeConns()
+	require.True(t, harness.nodeConns.evictConnection(harness.now, &node{}))
+	assert.Nil(t, n.check.conn, "connections of checks are evicted first")
+	assert.NotNil(t, n.openConn())
+	harness.closeConn(harness.nodeConn, errReset)
+	harness.advance(100)
+	assert.NotNil(t, n.conn, "dialed after the first delay of the backoff")
+}
+
 func TestNodeConns_FailedDials_CountedUntilOneOpens(t *testing.T) {
 	harness := newHarness(t)
 	harness.startWorkload(6)
