Forget a node's broken connection before its offers are repeated

Cause: since the checks of silent nodes nodeConns.closed told the binder of lost offers first, so that the engine's next offer to the same node found the broken connection and waited for the backoff of 50 ms.

Failed before, and passes on: TestNodeConns_ConnectionOfAnOfferBreaks_DialedAtOnceForTheNextOne. Found by reading the change again.

--- a/internal/frontend/platform/nodeconns.go
+++ b/internal/frontend/platform/nodeconns.go
@@ -175,19 +175,21 @@
 	}
 	delete(nc.conns, c.id)
 	c.state = connClosed
-	nc.events.offersLost(now, c)
-	switch {
-	case n.check.conn == c:
+	wasCheck := c.ofCheck()
+	if wasCheck {
 		n.check.conn = nil
-		if !wasOpen {
-			nc.checkFailed(now, n, reason)
-		}
-	case n.conn == c:
+	}
+	if n.conn == c {
 		n.conn = nil
-		if !wasOpen {
-			n.failWaiters()
-			nc.dialFailed(now, n, reason)
-		}
+	}
+	nc.events.offersLost(now, c) // may dial the node again
+	switch {
+	case wasOpen:
+	case wasCheck:
+		nc.checkFailed(now, n, reason)
+	default:
+		n.failWaiters()
+		nc.dialFailed(now, n, reason)
 	}
 	if !wasOpen && transport.IsNoResponse(reason) {
 		nc.noResponse(now, n, c.dialedAt)
--- a/internal/frontend/platform/nodeconns_test.go
+++ b/internal/frontend/platform/nodeconns_test.go
@@ -44,6 +44,15 @@
 	assert.Equal(t, []int{1, 1, 1}, []int{opened.calls, failed.calls, removed.calls})
 }
 
+// Guards against a dial that waits for the backoff: an offer that is repeated when its connection breaks needs one at
+// once.
+func TestNodeConns_ConnectionOfAnOfferBreaks_DialedAtOnceForTheNextOne(t *testing.T) {
+	harness := newHarness(t)
+	harness.receive(harness.clientConn, request(7))
+	harness.closeConn(harness.nodeConn, errReset)
+	assert.Greater(t, harness.network.lastDialed(nodeAddr), harness.nodeConn)
+}
+
 func TestNodeConn_EvictionOrder(t *testing.T) {
 	unused := &node{}
 	used := &node{workloads: map[placement.WorkloadID]*workload{1: {}}}
