Tell clients of workloads on a removed node whose process has died

What callers saw: the list removed a node while a bind was out, the node confirmed it, and then its process died: the client was never told.

Cause: a refused connection of a check counted as a sign of life, whether or not the node had another connection, and redial does not dial removed nodes.

Besides, a node that was lost is no longer watched, so that a workload that is handed over at once begins a period of its own.

--- a/internal/endtoend/workloadends_test.go
+++ b/internal/endtoend/workloadends_test.go
@@ -160,6 +160,20 @@
 	cs.assertNotEnded(t, kept)
 }
 
+// Guards against a workload for good on a node that confirmed it after its removal, and whose process then died.
+func TestNode_RemovedWhileABindIsOutThenDies_ClientNotified(t *testing.T) {
+	t.Parallel()
+	nodes, d, cs := startCluster(t, 1)
+	nodes[0].startTime = 700 * time.Millisecond
+	tag := cs.connect(t).request()
+	time.Sleep(300 * time.Millisecond)
+	d.publish(nodes[0].endpoint("Gone"))
+	require.Eventually(t, func() bool { return len(cs.about(tag)) > 0 }, 5*time.Second, 5*time.Millisecond)
+	require.Equal(t, placedVerb, cs.about(tag)[0].Verb)
+	nodes[0].die()
+	cs.assertNotified(t, []codec.Tag{tag}, time.Now(), endLimit)
+}
+
 // Guards against a release that waits at a node which has forgotten its idle connection.
 func TestNode_ForgetsItsConnection_ClientNotified(t *testing.T) {
 	t.Parallel()
--- a/internal/frontend/platform/nodeliveness.go
+++ b/internal/frontend/platform/nodeliveness.go
@@ -78,12 +78,13 @@
 	return n.check.conn != nil || n.conn != nil && n.conn.state == connDialing
 }
 
-// check opens a connection to a node, beside its current one if there is one. Nodes that refuse connections are dialed
-// by redial, and unlisted ones have no address yet. Nobody answers for a node whose address another node has taken.
+// check opens a connection to a node, beside its current one if there is one. Unlisted nodes have no address yet, and
+// redial dials those that refuse connections, unless they are removed. Nobody answers for a node whose address another
+// node has taken.
 func (nc *nodeConns) check(now placement.Millis, n *node) {
 	n.check.liveness.CheckBegun(now)
 	switch {
-	case nc.nodes.isUnlisted(n), n.dialing.refusals.ongoing:
+	case nc.nodes.isUnlisted(n), n.dialing.refusals.ongoing && n.reachable():
 	case n.addr == "":
 		nc.noResponse(now, n, now)
 	case n.conn == nil && n.reachable():
@@ -129,14 +130,16 @@
 	}
 }
 
-// checkFailed handles a dial for a check that has failed. A machine that refuses it can be reached; whether the node's
-// process has ended without a trace is seen on the connection that it had, which is reset in that case.
+// checkFailed handles a dial for a check that has failed. If the node has no other connection, it is like any failed
+// dial. Otherwise a machine that refuses it can be reached; whether its process has ended without a trace is seen
+// on the other connection, which is reset in that case.
 func (nc *nodeConns) checkFailed(now placement.Millis, n *node, reason error) {
-	if !errors.Is(reason, transport.ErrConnectionRefused) {
-		return
-	}
-	nc.heard(now, n)
-	if c := n.openConn(); c != nil {
+	c := n.openConn()
+	switch {
+	case c == nil:
+		nc.dialFailed(now, n, reason)
+	case errors.Is(reason, transport.ErrConnectionRefused):
+		nc.heard(now, n)
 		nc.net.Send(c.id, codec.NewHealthCheck(unusedCheckTag))
 	}
 }
@@ -164,6 +167,7 @@
 	nc.log.Warn("node lost, its workloads have ended", "node", n.name, "address", n.addr,
 		"workloads", len(n.workloads)+n.handovers, "heard_ms_ago", int(now-n.check.liveness.HeardAt()))
 	n.check.silenceLogged = false
+	n.check.watched = false
 	nc.events.machineLost(now, n)
 }
 
