Decide on a silent machine in time while offers to it are dialed too

Cause: a sum of limits once more: a dial for an offer that began just before the end of the longest partition held the deciding check up until it had failed, 250 ms later.

Change: after that time a check begins beside a dial in progress.

Failed before: TestNodeConns_SilentNodeIsDialedForOffersToo_LostInTime, in 10 of 20 intervals of dials (up to 7.83 s of 7.65 s).

--- a/internal/frontend/platform/nodeliveness.go
+++ b/internal/frontend/platform/nodeliveness.go
@@ -55,27 +55,21 @@
 	})
 }
 
-// checkIfDue begins a check unless something was heard of the node since the timer was set, and sets the next timer. If
-// a dial is in progress, its end sets the timer.
+// checkIfDue begins a check unless something was heard of the node since the timer was set, and sets the next timer.
+// The end of a check in progress sets the timer anew. Another dial in progress is as good as a check, unless it may
+// have begun before the end of the longest partition.
 func (nc *nodeConns) checkIfDue(now placement.Millis, n *node) {
-	if !n.runsWorkloads() {
+	dialing := n.conn != nil && n.conn.state == connDialing
+	switch {
+	case !n.runsWorkloads():
 		n.check.watched = false
 		return
-	}
-	if nc.dialInProgress(n) {
+	case n.check.conn != nil:
 		return
-	}
-	if n.check.liveness.NextCheck() <= now {
+	case n.check.liveness.NextCheck() <= now && (!dialing || n.check.liveness.PartitionOver(now)):
 		nc.check(now, n)
 	}
-	if !nc.dialInProgress(n) {
-		nc.scheduleCheck(now, n)
-	}
-}
-
-// dialInProgress reports whether a node is being dialed.
-func (nc *nodeConns) dialInProgress(n *node) bool {
-	return n.check.conn != nil || n.conn != nil && n.conn.state == connDialing
+	nc.scheduleCheck(now, n)
 }
 
 // check opens a connection to a node, beside its current one if there is one. Unlisted nodes have no address yet, and
--- a/placement/liveness.go
+++ b/placement/liveness.go
@@ -73,5 +73,8 @@
 	return regular
 }
 
+// PartitionOver reports whether a silent node that was only cut off could be reached again.
+func (l *Liveness) PartitionOver(now Millis) bool { return l.silent && now >= l.partitionOverAt() }
+
 // partitionOverAt returns the time after which a node that was cut off can be reached again.
 func (l *Liveness) partitionOverAt() Millis { return l.silentSince + maxPartition + partitionMargin }
