Open a connection soon after one to a node was replaced and closed

The node sends the release again on the next connection that is opened; a node that is heard of is not checked, so there was none.

Change: 200 ms after such a close a further connection is opened for 250 ms.

Failed before: TestNodeConns_ReplacedConnectionClosed_AnotherOneOpenedSoon.

--- a/internal/frontend/platform/nodeconnuse.go
+++ b/internal/frontend/platform/nodeconnuse.go
@@ -98,6 +98,7 @@
 	nc.host.Defer(func(now placement.Millis) {
 		if c.state != connClosed {
 			nc.disconnect(now, c, errReplaced)
+			nc.checkAfterClose(now, c.node)
 		}
 	})
 }
--- a/internal/frontend/platform/nodeliveness.go
+++ b/internal/frontend/platform/nodeliveness.go
@@ -12,6 +12,9 @@
 	// checkConnTime, in ms, is how long the connection of a check stays open. A node sends releases that it could not
 	// send before on the next connection that is opened.
 	checkConnTime = placement.Millis(250)
+	// checkAfterCloseDelay, in ms, is the time from the end of a connection to the next one, in which a release that
+	// crossed the end has arrived at its node's end or is lost.
+	checkAfterCloseDelay = placement.Millis(200)
 	// minCheckSpacing, in ms, is the minimum time between two checks of a node, also if dialing fails on this machine.
 	minCheckSpacing = placement.Millis(50)
 	// failuresUntilLogged is the number of attempts without a response after which a node's silence is logged. Single
@@ -88,6 +91,16 @@
 	}
 }
 
+// checkAfterClose opens a connection soon after this side has closed one to a node that runs workloads and has another.
+// A release that crossed the end of the closed one is sent again on the next one that is opened.
+func (nc *nodeConns) checkAfterClose(now placement.Millis, n *node) {
+	nc.host.Schedule(now+checkAfterCloseDelay, func(now placement.Millis) {
+		if nc.nodes.contains(n) && n.runsWorkloads() && n.check.conn == nil && n.openConn() != nil {
+			nc.dialCheck(now, n)
+		}
+	})
+}
+
 // dialCheck dials a node for a check, if a connection can be evicted at the limit.
 func (nc *nodeConns) dialCheck(now placement.Millis, n *node) {
 	if len(nc.conns) >= nc.limit && !nc.evictConnection(now, n) {
--- a/internal/frontend/platform/nodeliveness_test.go
+++ b/internal/frontend/platform/nodeliveness_test.go
@@ -68,3 +68,26 @@
 		})
 	}
 }
+
+// Guards against a release that crosses the end of the connection that it is sent on: the node sends it again on the
+// next one that is opened, and would wait for that.
+func TestNodeConns_ReplacedConnectionClosed_AnotherOneOpenedSoon(t *testing.T) {
+	harness := newHarness(t)
+	harness.startWorkload(7)
+	replaced := harness.nodeConns.get(harness.nodeConn)
+	harness.nodeConns.replaceSilent(harness.now, replaced, harness.now+1)
+	successor := harness.network.lastDialed(nodeAddr)
+	harness.openConn(successor)
+	harness.receive(harness.nodeConn, codec.NewTermination(99, codec.CauseNormal)) // unknown workload
+	require.True(t, harness.network.closed[harness.nodeConn])
+	for range 30 {
+		harness.advance(10)
+		harness.receive(successor, codec.NewTermination(99, codec.CauseNormal)) // the node is not silent
+	}
+	check := harness.network.lastDialed(nodeAddr)
+	require.Greater(t, check, successor)
+	harness.openConn(check)
+	harness.receive(check, codec.NewTermination(7, codec.CauseNormal))
+	assert.Equal(t, []sentMessage{aConfirmation, aTermination(codec.CauseNormal)},
+		harness.sentAbout(harness.clientConn, 7))
+}
