Send a notification again whose connection its client closes just after

Only resets were followed by a repetition.

Change: notifications of the last 50 ms are sent again after any end that this side has not brought about.

The soak's clients reset half of the connections that they end, as was meant.

--- a/internal/frontend/platform/clients.go
+++ b/internal/frontend/platform/clients.go
@@ -109,9 +109,7 @@
 		cs.warnSlow(now, c, reason)
 	}
 	cs.closed(now, c)
-	if errors.Is(reason, transport.ErrConnectionLost) {
-		cs.notifyAgain(now, c)
-	}
+	cs.notifyAgain(now, c)
 }
 
 // closed removes a closed connection and withdraws its unanswered requests, which can no longer be answered.
--- a/internal/frontend/platform/frontend.go
+++ b/internal/frontend/platform/frontend.go
@@ -53,7 +53,7 @@
 	Released uint64 // notifications to clients that a workload ended
 
 	QueuedNotifications   uint64 // notifications that had to wait for a client connection
-	RepeatedNotifications uint64 // notifications that were sent again, since their connection was reset just after
+	RepeatedNotifications uint64 // notifications that were sent again, since their connection ended just after
 	DroppedNotifications  uint64 // notifications that were not delivered: too many or too long without a client connection
 
 	EvictedHandovers uint64 // handovers that were ended since there were too many
--- a/internal/frontend/platform/notifications.go
+++ b/internal/frontend/platform/notifications.go
@@ -14,7 +14,7 @@
 	// maxUndeliveredUnverified is the number of waiting notifications beyond which none about workloads are queued that
 	// were handed over and may not exist.
 	maxUndeliveredUnverified = maxUndelivered / 2
-	// crossingTime, in ms, is the time before a reset of a connection in which a notification that was sent on it may not
+	// crossingTime, in ms, is the time before the end of a connection in which a notification that was sent on it may not
 	// have been read.
 	crossingTime = placement.Millis(50)
 	// undeliveredTTL, in ms, is how long a notification waits for a client connection before it is dropped.
@@ -88,13 +88,13 @@
 	cs.net.Send(c.id, m)
 }
 
-// notifyAgain sends the notifications that a reset of their connection may have crossed on another connection. Their
+// notifyAgain sends the notifications that the end of their connection may have crossed on another connection. Their
 // client may have read them; it is told twice rather than not at all.
-func (cs *clientConns) notifyAgain(now placement.Millis, reset *clientConn) {
-	for _, n := range reset.notified {
+func (cs *clientConns) notifyAgain(now placement.Millis, lost *clientConn) {
+	for _, n := range lost.notified {
 		if now-n.at <= crossingTime {
 			cs.counters.RepeatedNotifications++
-			cs.notify(reset.id, n.message)
+			cs.notify(lost.id, n.message)
 		}
 	}
 }
