--- a/internal/endtoend/node_test.go
+++ b/internal/endtoend/node_test.go
@@ -165,7 +165,7 @@
 			return
 		}
 		if c.isForgotten() {
-			resetConn(c)
+			resetConn(c.Conn)
 			return
 		}
 		received = append(received, buffer[:count]...)
