--- a/internal/endtoend/workloadends_test.go
+++ b/internal/endtoend/workloadends_test.go
@@ -223,3 +223,17 @@
 	}()
 	cs.assertNotified(t, []codec.Tag{tag}, ended, endLimit)
 }
+
+// Guards against a workload whose client is told late or not at all, since its node was removed before the start and
+// the discovery service is silent now.
+func TestHandover_NodeRemovedBeforeTheStartAndListSilent_ClientNotified(t *testing.T) {
+	t.Parallel()
+	nodes := startNodes(t, 2)
+	d := startDiscovery(t, nodes...)
+	d.publish(nodes[0].endpoint("Gone"))
+	d.setSilent(true)
+	cs := newClients(startAllocator(t, d))
+	tag := newTag()
+	cs.connect(t).write(placeRequest(tag, 1, nodes[0].name))
+	cs.assertNotified(t, []codec.Tag{tag}, time.Now(), endLimit)
+}
--- a/internal/frontend/platform/adoptions.go
+++ b/internal/frontend/platform/adoptions.go
@@ -58,6 +58,10 @@
 		a.clients.notifyEnd(ended{client: client.id, tag: request.Tag, cause: end.cause})
 		return
 	}
+	if a.nodes.removed.contains(request.Node) {
+		a.clients.notifyEnd(ended{client: client.id, tag: request.Tag, cause: codec.CauseReset, unverified: true})
+		return
+	}
 	if a.workloads.idsExhausted() {
 		a.net.Send(client.id, codec.NewTermination(request.Tag, codec.CauseNoCapacity))
 		return
--- a/internal/frontend/platform/adoptions_test.go
+++ b/internal/frontend/platform/adoptions_test.go
@@ -259,6 +259,25 @@
 	assert.Len(t, harness.adoptions.earlyEnds.byTag, maxEarlyEnds)
 }
 
+// Guards against a workload that is told of late, since its node was removed before this process started and the
+// discovery service is silent now. A node that is listed again is no removed one.
+func TestAdoptions_NodeWasRemoved_ClientNotifiedAtOnce(t *testing.T) {
+	harness := newHarness(t)
+	harness.publishNodes(1)
+	harness.publishNode(3, "Gone")
+	harness.receive(harness.clientConn, adoptRequest(7, nodeName))
+	assert.Equal(t, []sentMessage{aTermination(codec.CauseReset)}, harness.sentAbout(harness.clientConn, 7))
+	harness.receive(harness.clientConn, adoptRequest(8, extraNodeName(0)))
+	harness.publishNode(4, "Ready")
+	harness.receive(harness.clientConn, adoptRequest(9, nodeName))
+	assert.Empty(t, harness.sentAbout(harness.clientConn, 8))
+	assert.Empty(t, harness.sentAbout(harness.clientConn, 9))
+	for i := range 2 * maxRemovedNames {
+		harness.nodes.removed.add(fmt.Sprint(i))
+	}
+	assert.Len(t, harness.nodes.removed.names, maxRemovedNames)
+}
+
 // Guards both sides of the time that an unlisted node has: silence of the discovery service does not count, and a new
 // connection to it does not begin the time anew.
 func TestAdoptions_DiscoveryFlaps_OnlyConnectedTimeCounts(t *testing.T) {
--- a/internal/frontend/platform/nodetable.go
+++ b/internal/frontend/platform/nodetable.go
@@ -19,18 +19,20 @@
 
 // nodeTable is the table of nodes, by id, name and address.
 type nodeTable struct {
-	byID   map[placement.NodeID]*node
-	byName map[string]*node
-	byAddr map[string]*node
-	added  map[*node]struct{} // unlisted nodes: those named in a handover that are not in the endpoint list
+	byID    map[placement.NodeID]*node
+	byName  map[string]*node
+	byAddr  map[string]*node
+	removed *removedNames
+	added   map[*node]struct{} // unlisted nodes: those named in a handover that are not in the endpoint list
 }
 
 func newNodeTable() *nodeTable {
 	return &nodeTable{
-		byID:   map[placement.NodeID]*node{},
-		byName: map[string]*node{},
-		byAddr: map[string]*node{},
-		added:  map[*node]struct{}{},
+		byID:    map[placement.NodeID]*node{},
+		byName:  map[string]*node{},
+		byAddr:  map[string]*node{},
+		removed: newRemovedNames(),
+		added:   map[*node]struct{}{},
 	}
 }
 
@@ -86,9 +88,12 @@
 // markListed records that an endpoint list contains the node.
 func (t *nodeTable) markListed(n *node) {
 	n.listed = true
-	if n.entry.State != placement.Removed {
-		delete(t.added, n)
+	if n.entry.State == placement.Removed {
+		t.removed.add(n.name)
+		return
 	}
+	t.removed.forget(n.name)
+	delete(t.added, n)
 }
 
 // unlisted returns the unlisted nodes in the order of their ids.
