Give each allocator of the tests of processes an address of its own

What was seen: one of 99 tests, beside a soak of 14 processes: "bind: address already in use"; the allocator did not start. The test had let the system choose a port, released it for the allocator, and a connection of another test had taken it meanwhile.

Change: a loopback address and a port below those that the system chooses, which differ between allocators and between test processes.

--- a/internal/endtoend/allocator_test.go
+++ b/internal/endtoend/allocator_test.go
@@ -9,6 +9,7 @@
 	"os/exec"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -86,10 +87,7 @@
 // process is killed at the end of the test, and its log printed if the test has failed.
 func startAllocatorWith(t *testing.T, d *discovery, o options) *allocator {
 	t.Helper()
-	free, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	a := &allocator{addr: free.Addr().String(), file: filepath.Join(t.TempDir(), "config.json")}
-	require.NoError(t, free.Close())
+	a := &allocator{addr: newAddress(), file: filepath.Join(t.TempDir(), "config.json")}
 	a.writeConfig(t, d, o)
 	a.process = exec.Command(os.Args[0])
 	a.process.Env = append(os.Environ(), runAsProgram+"=platform", "NODE_CONFIG="+a.file, "NODE_LISTEN="+a.addr)
@@ -110,6 +108,17 @@
 	return a
 }
 
+// startedAllocators is the number of allocators that this process has started.
+var startedAllocators atomic.Uint32
+
+// newAddress returns an address that nobody else uses: its port is below those that the system chooses, and its host
+// differs between allocators and, with the port, between test processes.
+func newAddress() string {
+	const hosts, firstPort, ports = 250, 20_000, 10_000
+	pid := uint32(os.Getpid())
+	return fmt.Sprintf("127.73.%d.%d:%d", pid%hosts+1, startedAllocators.Add(1)%hosts+1, firstPort+pid/hosts%ports)
+}
+
 // writeConfig writes the configuration with the address and the events of a discovery service.
 func (a *allocator) writeConfig(t *testing.T, d *discovery, o options) {
 	t.Helper()
