--- a/internal/frontend/platform/lifecycle.go
+++ b/internal/frontend/platform/lifecycle.go
@@ -10,8 +10,9 @@
 	// readyTimeout, in ms after the start, is when the frontend becomes ready without a response of the discovery
 	// service.
 	readyTimeout = placement.Millis(500)
-	// drainTimeout, in ms, is how long new requests are accepted after the beginning of a drain.
-	drainTimeout = placement.Millis(750)
+	// drainTimeout, in ms, is how long new requests are accepted after the beginning of a drain. The platform forgives
+	// those that a kill finds unanswered if they came within 0.7 s of SIGTERM.
+	drainTimeout = placement.Millis(680)
 	// releaseTimeout, in ms after drainTimeout, is how long a drain waits for pending releases. The platform kills a
 	// process 3.7 s after SIGTERM.
 	releaseTimeout = placement.Millis(1000)
--- a/internal/frontend/platform/lifecycle_test.go
+++ b/internal/frontend/platform/lifecycle_test.go
@@ -117,3 +117,16 @@
 	harness.advance(20)
 	assert.Len(t, harness.network.sent[harness.clientConn], 1)
 }
+
+// Guards against a request that a kill finds unanswered: one that comes later than 0.7 s after SIGTERM counts as lost
+// then, and its node may be silent for longer than the kill waits.
+func TestLifecycle_RequestLaterThanTheKillForgives_Rejected(t *testing.T) {
+	harness := newHarness(t)
+	harness.Drain(harness.now)
+	harness.advance(600)
+	harness.receive(harness.clientConn, request(7))
+	assert.Equal(t, []sentMessage{anOffer}, harness.sentAbout(harness.nodeConn, 7))
+	harness.advance(95)
+	harness.receive(harness.clientConn, request(8))
+	assert.Equal(t, []sentMessage{aTermination(codec.CauseNoCapacity)}, harness.sentAbout(harness.clientConn, 8))
+}
