--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -6,4 +6,4 @@
 	echo "not built: run the build of the deploy file and review/build-2.sh" >&2
 	exit 2
 fi
-exec bin/review-stand-2 slow-discovery review/8/record.txt
+exec bin/review-stand-2 hand-over-flood review/8/record.txt
--- a/review/_stand2/cases_test.go
+++ b/review/_stand2/cases_test.go
@@ -9,6 +9,7 @@
 
 import (
 	"os/exec"
+	"path/filepath"
 	"testing"
 )
 
@@ -21,12 +22,26 @@
 	}
 }
 
-func TestReviewCase6_HostHangs_EndsAreToldToOwners(t *testing.T) { runCase(t, "6") }
+func TestReviewCase6_AnswersComeLate_EndsAreToldToOwners(t *testing.T) { runCase(t, "6") }
 
-func TestReviewCase7_AnswersComeLate_EndsAreToldToOwners(t *testing.T) { runCase(t, "7") }
+func TestReviewCase7_DiscoveryRespondsSlowly_EndsAreToldToOwners(t *testing.T) { runCase(t, "7") }
 
-func TestReviewCase8_DiscoveryRespondsSlowly_EndsAreToldToOwners(t *testing.T) { runCase(t, "8") }
+func TestReviewCase8_BadClientsHandOverUnknownIDs_RunningTasksAreKept(t *testing.T) { runCase(t, "8") }
 
-func TestReviewCase9_BadClientsHandOverUnknownIDs_RunningTasksAreKept(t *testing.T) { runCase(t, "9") }
+func TestReviewCase9_FrontSendsTest_EndIsToldToOwner(t *testing.T) { runCase(t, "9") }
 
-func TestReviewCase10_FrontSendsTest_EndIsToldToOwner(t *testing.T) { runCase(t, "10") }
+func TestReviewCase10_HostHangs_EndsAreToldToOwners(t *testing.T) { runCase(t, "10") }
+
+// runPlay runs a play that has no folder.
+func runPlay(t *testing.T, name string) {
+	t.Helper()
+	play := exec.Command("bin/review-stand-2", name, filepath.Join(t.TempDir(), "record.txt"))
+	play.Dir = "../.."
+	if output, err := play.CombinedOutput(); err != nil {
+		t.Fatalf("%s: %v\n%s", name, err, output)
+	}
+}
+
+func TestReviewPlayLostAnswers_TwoBindsAreNeverOutAtOnce(t *testing.T) { runPlay(t, "lost-answers") }
+
+func TestReviewPlayUnreadable_LineThatIsNotUTF8IsNotServed(t *testing.T) { runPlay(t, "unreadable") }
--- a/review/_stand2/host.go
+++ b/review/_stand2/host.go
@@ -83,11 +83,13 @@
 	wait int // how long the allocator waits, in ms
 	at   time.Time
 
-	ranAt   time.Time // zero if it never ran
-	overAt  time.Time // its end, refusal or giving up; zero while it is out or stands
-	over    string
-	lostAt  time.Time // end of its connection; zero before
-	started bool
+	ranAt  time.Time // zero if it never ran
+	overAt time.Time // its end, refusal or giving up; zero while it is out or stands
+	over   string
+	lostAt time.Time // end of its connection; zero before
+
+	heldUntil time.Time // until when its answer is on its way
+	started   bool
 }
 
 // host is a stand-in for a host. It starts each task after startTime, unless answer says otherwise.
@@ -117,13 +119,7 @@
 type hostConn struct {
 	host *host
 	net.Conn
-	out chan outgoing
-}
-
-// outgoing is a message to write, after a delay that holds up the later ones as well.
-type outgoing struct {
-	bytes []byte
-	delay time.Duration
+	out chan []byte
 }
 
 // newHost returns a host that does not accept connections yet.
@@ -150,7 +146,7 @@
 			return
 		}
 		h.waitWhileHung()
-		c := &hostConn{host: h, Conn: conn, out: make(chan outgoing, 4096)}
+		c := &hostConn{host: h, Conn: conn, out: make(chan []byte, 4096)}
 		go c.write()
 		h.mu.Lock()
 		h.conns = append(h.conns, c)
@@ -158,35 +154,42 @@
 		h.unsent = nil
 		h.mu.Unlock()
 		for _, tag := range unsent {
-			c.finish(tag, causeOK)
+			c.finish(nil, tag, causeOK)
 		}
 		go c.read()
 	}
 }
 
 func (c *hostConn) write() {
-	for m := range c.out {
-		if m.delay > 0 {
-			time.Sleep(m.delay)
-		}
+	for bytes := range c.out {
 		c.host.waitWhileHung()
-		if _, err := c.Write(m.bytes); err != nil {
+		if _, err := c.Write(bytes); err != nil {
 			return
 		}
 	}
 }
 
-// send sends a message after a delay.
-func (c *hostConn) send(m *message, delay time.Duration) {
+// send sends a message.
+func (c *hostConn) send(m *message) {
 	select {
-	case c.out <- outgoing{m.encode(), delay}:
+	case c.out <- m.encode():
 	default:
 	}
 }
 
-func (c *hostConn) finish(tag uint64, cause byte) {
+// sendHeld sends a message about an attempt, after its answer if that is still on its way.
+func (c *hostConn) sendHeld(a *attempt, m *message) {
+	if a == nil || time.Until(a.heldUntil) <= 0 {
+		c.send(m)
+		return
+	}
+	time.AfterFunc(time.Until(a.heldUntil)+time.Millisecond, func() { c.send(m) })
+}
+
+// finish sends the release of a task. a is the attempt that has ended, if it is known.
+func (c *hostConn) finish(a *attempt, tag uint64, cause byte) {
 	c.host.p.note("%s -> allocator FINISH %016x cause %d", c.host.name, tag, cause)
-	c.send(&message{kind: typeFinish, tag: tag, params: map[byte]string{paramCause: string([]byte{cause})}}, 0)
+	c.sendHeld(a, &message{kind: typeFinish, tag: tag, params: map[byte]string{paramCause: string([]byte{cause})}})
 }
 
 func (c *hostConn) read() {
@@ -263,12 +266,12 @@
 		}
 		h.mu.Unlock()
 		if a != nil && a.started { // a task that stands is cut, and its end reported
-			c.finish(m.tag, causeCancelled)
+			c.finish(a, m.tag, causeCancelled)
 		}
 	case typeEcho:
 		c.send(&message{kind: typeEchoed, tag: m.tag, params: map[byte]string{
 			paramCause: "\x01", paramReport: h.report(),
-		}}, 0)
+		}})
 	}
 }
 
@@ -291,17 +294,18 @@
 	}
 	a.started = true
 	a.ranAt = time.Now()
-	h.mu.Unlock()
 	delay := time.Duration(0)
 	if h.holdAnswer != nil {
 		delay = h.holdAnswer(a)
+		a.heldUntil = a.ranAt.Add(delay)
 	}
+	h.mu.Unlock()
 	h.p.note("%s: %016x runs; answer on its way for %v", h.name, a.tag, delay)
 	if delay >= 0 {
 		answer := &message{kind: typeStarted, tag: a.tag, params: map[byte]string{
 			paramReport: h.report(), paramDescription: fmt.Sprintf("%s runs %016x", h.name, a.tag),
 		}}
-		c.send(answer, delay)
+		time.AfterFunc(delay, func() { c.send(answer) })
 	}
 	if h.onRun != nil {
 		h.onRun(a)
@@ -324,8 +328,8 @@
 		if !stands {
 			return
 		}
-		if c != nil {
-			c.send(&message{kind: typeNotice, tag: a.tag, params: map[byte]string{paramNote: "cpu", paramFigure: "0.2"}}, 0)
+		if c != nil && time.Now().After(a.heldUntil) {
+			c.send(&message{kind: typeNotice, tag: a.tag, params: map[byte]string{paramNote: "cpu", paramFigure: "0.2"}})
 		}
 		time.Sleep(h.notices)
 	}
@@ -349,7 +353,7 @@
 	h.unsent = append(h.unsent, tag)
 	h.mu.Unlock()
 	if c != nil {
-		c.finish(tag, causeOK)
+		c.finish(a, tag, causeOK)
 	}
 	return true
 }
--- a/review/_stand2/late.go
+++ b/review/_stand2/late.go
@@ -13,7 +13,7 @@
 
 // spoiltAnswers plays a small site whose hosts' good answers arrive after their time, or never, from any host alike.
 func (p *play) spoiltAnswers(late bool) bool {
-	const hosts, share, duration = 8, 0.1, 45 * time.Second
+	const hosts, share, duration = 8, 0.15, 45 * time.Second
 	const startTime, lateness = 250 * time.Millisecond, 20 * time.Millisecond
 	e := &events{}
 	var all []*host
